--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Entry points for users and CI. `make demo` and `make test` install what they
+# need on a fresh Debian machine.
+JOBS ?= $(shell nproc)
+BUILD ?= build
+
+.PHONY: setup build test demo format lint sanitize fuzz clean
+
+setup:
+	bash scripts/setup.sh
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+demo: build
+	bash scripts/demo.sh $(BUILD)/teaselwalk
+
+format:
+	find include src examples -name '*.[ch]pp' | xargs clang-format -i
+
+lint: build
+	bash scripts/lint.sh $(BUILD) $(JOBS)
+
+sanitize: setup
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DTEASELWALK_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j $(JOBS)
+
+clean:
+	rm -rf build build-sanitize
--- /dev/null
+++ b/include/teaselwalk/http/client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "teaselwalk/base/time.hpp"
+#include "teaselwalk/http/message.hpp"
+#include "teaselwalk/protocol/delivery.hpp"
+#include "teaselwalk/protocol/vm.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace teaselwalk::http {
+
+struct ClientOptions {
+  size_t MaxBodyBytes = 4194304;     ///< A larger answer counts as lost.
+  size_t MaxConnectionsPerPeer = 64; ///< Open at the same time.
+  size_t MaxWaitingPerPeer = 1024;   ///< Further requests end as NotSent.
+  Duration ConnectTimeout{1000};
+  Duration IdleTimeout{30000}; ///< Then an unused connection is closed.
+};
+
+/// The end of one exchange. `Message` is valid only if `State` is Answered.
+struct Result {
+  protocol::Delivery State = protocol::Delivery::NotSent;
+  Response Message;
+};
+
+/// HTTP/1.1 client with one thread: the one that calls `run()`. Connections
+/// are kept open and reused. A request that failed on a reused connection
+/// before any byte of an answer is Lost and never sent again by the client.
+///
+/// ```cpp
+/// http::Client Client({});
+/// std::thread Thread([&] { Client.run(); });
+/// Client.send({"127.0.0.1", 8080}, {"GET", "/healthz"}, Duration(1000),
+///             [](http::Result R) { ... });
+/// ```
+class Client {
+public:
+  using Callback = std::function<void(Result)>;
+
+  explicit Client(ClientOptions Options);
+  ~Client();
+  Client(const Client &) = delete;
+  Client &operator=(const Client &) = delete;
+
+  /// Thread-safe. Calls \p Done exactly once, on the thread of `run()`. The
+  /// timeout covers waiting for a connection, sending and the answer.
+  void send(const protocol::Address &Peer, Request Message, Duration Timeout,
+            Callback Done);
+
+  /// Works until `stop()`.
+  void run();
+  void stop();
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> State;
+};
+
+/// Sends one request on a connection of its own and waits for the answer.
+Result sendAndWait(const protocol::Address &Peer, const Request &Message,
+                   Duration Timeout);
+
+} // namespace teaselwalk::http
--- /dev/null
+++ b/include/teaselwalk/protocol/endpoint.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "teaselwalk/base/enum_names.hpp"
+#include "teaselwalk/base/epoch.hpp"
+#include "teaselwalk/base/id.hpp"
+#include "teaselwalk/base/resources.hpp"
+#include "teaselwalk/base/time.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Messages between the owner of an endpoint and the endpoint.
+namespace teaselwalk::protocol {
+
+/// One attempt to run a task. Unique over the life of the cluster.
+struct Attempt {
+  TaskId Task;
+  uint32_t Number = 1; ///< Counts from 1.
+
+  friend bool operator==(const Attempt &A, const Attempt &B) {
+    return A.Task == B.Task && A.Number == B.Number;
+  }
+};
+
+/// A task that an endpoint is running.
+struct RunningTask {
+  Attempt Id;
+  TeamId Team;
+  Resources Reserved; ///< As declared by the owner.
+  Resources Usage;    ///< As measured, with a lag; zero when unknown.
+};
+
+/// A task that has ended and whose result the owner has not acknowledged.
+struct FinishedTask {
+  Attempt Id;
+  bool Ok = false;
+  std::string Result;
+};
+
+/// `POST /attach`: become the owner under `Owner` if it is higher than the
+/// epoch that the endpoint holds.
+struct AttachCommand {
+  Epoch Owner;
+};
+
+/// `POST /run`: start a task under a lease.
+struct RunCommand {
+  Epoch Owner;
+  Attempt Id;
+  TeamId Team;
+  Resources Size;
+  Duration Lease{0};   ///< The task ends when no renewal arrives for so long.
+  Duration RunTime{0}; ///< Declared run time; zero for a service.
+  std::string Payload;
+  bool Wait = false; ///< Answer at the task's end (quick calls) or its start.
+};
+
+/// `POST /renew`: extend the leases of `Tasks`, drop acknowledged results and
+/// report the state.
+struct RenewCommand {
+  Epoch Owner;
+  Duration Lease{0};
+  std::vector<Attempt> Tasks;
+  std::vector<Attempt> Acknowledged;
+};
+
+/// How a task is asked to use less.
+enum class StopMode { Checkpoint, Throttle, Stop };
+
+constexpr std::array<EnumName<StopMode>, 3> StopModeNames = {{
+    {StopMode::Checkpoint, "checkpoint"},
+    {StopMode::Throttle, "throttle"},
+    {StopMode::Stop, "stop"},
+}};
+
+/// `POST /stop`.
+struct StopCommand {
+  Epoch Owner;
+  TaskId Task;
+  StopMode Mode = StopMode::Stop;
+};
+
+/// Answer to attach and renew: the whole state of the endpoint.
+struct EndpointState {
+  Epoch Owner; ///< The epoch that the endpoint holds now.
+  Resources Capacity;
+  bool Leaving = false;
+  std::vector<RunningTask> Tasks;
+  std::vector<FinishedTask> Finished;
+};
+
+/// Answer to run with `Wait`, and to a duplicate of a finished attempt.
+struct RunResult {
+  bool Ok = false;
+  std::string Result;
+};
+
+/// Answer 409: the command's epoch is lower than `Owner`.
+struct StaleEpoch {
+  Epoch Owner;
+};
+
+void to_json(nlohmann::json &Json, const AttachCommand &Value);
+void from_json(const nlohmann::json &Json, AttachCommand &Value);
+void to_json(nlohmann::json &Json, const RunCommand &Value);
+void from_json(const nlohmann::json &Json, RunCommand &Value);
+void to_json(nlohmann::json &Json, const RenewCommand &Value);
+void from_json(const nlohmann::json &Json, RenewCommand &Value);
+void to_json(nlohmann::json &Json, const StopCommand &Value);
+void from_json(const nlohmann::json &Json, StopCommand &Value);
+void to_json(nlohmann::json &Json, const EndpointState &Value);
+void from_json(const nlohmann::json &Json, EndpointState &Value);
+void to_json(nlohmann::json &Json, const RunResult &Value);
+void from_json(const nlohmann::json &Json, RunResult &Value);
+void to_json(nlohmann::json &Json, const StaleEpoch &Value);
+void from_json(const nlohmann::json &Json, StaleEpoch &Value);
+
+} // namespace teaselwalk::protocol
+
+namespace teaselwalk {
+void to_json(nlohmann::json &Json, const Epoch &Value);
+void from_json(const nlohmann::json &Json, Epoch &Value);
+void to_json(nlohmann::json &Json, const Resources &Value);
+/// Absent fields are zero.
+void from_json(const nlohmann::json &Json, Resources &Value);
+} // namespace teaselwalk
--- /dev/null
+++ b/src/teaselwalk/http/client.cpp
@@ -0,0 +1,303 @@
+#include "teaselwalk/http/client.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace teaselwalk::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using boost::system::error_code;
+using protocol::Address;
+using protocol::Delivery;
+using Tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+bhttp::request<bhttp::string_body> toBeast(const Address &Peer,
+                                           const Request &Message) {
+  bhttp::request<bhttp::string_body> Out;
+  Out.version(11);
+  Out.method_string(Message.Method);
+  Out.target(Message.Target);
+  Out.set(bhttp::field::host, Peer.Ip + ":" + std::to_string(Peer.Port));
+  Out.set(bhttp::field::content_type, "application/json");
+  if (!Message.Bearer.empty())
+    Out.set(bhttp::field::authorization, "Bearer " + Message.Bearer);
+  if (!Message.RequestId.empty())
+    Out.set("X-Request-Id", Message.RequestId);
+  Out.keep_alive(true);
+  Out.body() = Message.Body;
+  Out.prepare_payload();
+  return Out;
+}
+
+/// One request on its way, from `send()` to its callback.
+struct Exchange {
+  Request Message;
+  SteadyTime Deadline;
+  Client::Callback Done;
+
+  void finish(Result Outcome) {
+    if (Client::Callback Callee = std::exchange(Done, nullptr))
+      Callee(std::move(Outcome));
+  }
+};
+
+struct Connection {
+  explicit Connection(asio::io_context &Context) : Stream(Context) {}
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::optional<bhttp::response_parser<bhttp::string_body>> Parser;
+  SteadyTime IdleSince;
+};
+
+/// Connections to one address and the requests that wait for one.
+struct Peer {
+  std::vector<std::shared_ptr<Connection>> Idle;
+  std::deque<std::shared_ptr<Exchange>> Waiting;
+  size_t Open = 0;
+};
+
+} // namespace
+
+class Client::Impl : public std::enable_shared_from_this<Client::Impl> {
+public:
+  explicit Impl(ClientOptions Options)
+      : Options(Options), Work(asio::make_work_guard(Context)),
+        Sweeper(Context) {}
+
+  /// Runs on the client's thread.
+  void begin(const Address &At, const std::shared_ptr<Exchange> &Job) {
+    Peer &Target = Peers[At];
+    if (!Target.Idle.empty()) {
+      std::shared_ptr<Connection> Link = std::move(Target.Idle.back());
+      Target.Idle.pop_back();
+      return transmit(At, Link, Job);
+    }
+    if (Target.Open < Options.MaxConnectionsPerPeer)
+      return connect(At, Job);
+    if (Target.Waiting.size() >= Options.MaxWaitingPerPeer)
+      return Job->finish({});
+    Target.Waiting.push_back(Job);
+  }
+
+  /// Ends waiting requests past their deadline and closes idle connections.
+  void sweep() {
+    Sweeper.expires_after(SweepInterval);
+    Sweeper.async_wait([Self = shared_from_this()](error_code Failure) {
+      if (Failure)
+        return;
+      Self->expire();
+      Self->sweep();
+    });
+  }
+
+  ClientOptions Options;
+  asio::io_context Context{1};
+
+private:
+  static constexpr Duration SweepInterval{20};
+
+  void connect(const Address &At, const std::shared_ptr<Exchange> &Job) {
+    error_code Failure;
+    auto Ip = asio::ip::make_address(At.Ip, Failure);
+    if (Failure)
+      return Job->finish({});
+    ++Peers[At].Open;
+    auto Link = std::make_shared<Connection>(Context);
+    SteadyTime Limit =
+        std::chrono::steady_clock::now() + Options.ConnectTimeout;
+    Link->Stream.expires_at(std::min(Limit, Job->Deadline));
+    Link->Stream.async_connect(
+        Tcp::endpoint(Ip, At.Port),
+        [Self = shared_from_this(), At, Link, Job](error_code Refused) {
+          if (Refused) {
+            Job->finish({});
+            return Self->drop(At);
+          }
+          error_code Ignored;
+          Link->Stream.socket().set_option(Tcp::no_delay(true), Ignored);
+          Self->transmit(At, Link, Job);
+        });
+  }
+
+  void transmit(const Address &At, const std::shared_ptr<Connection> &Link,
+                const std::shared_ptr<Exchange> &Job) {
+    if (Job->Deadline <= std::chrono::steady_clock::now()) {
+      Job->finish({});
+      return reuse(At, Link);
+    }
+    auto Out = std::make_shared<bhttp::request<bhttp::string_body>>(
+        toBeast(At, Job->Message));
+    Link->Stream.expires_at(Job->Deadline);
+    bhttp::async_write(Link->Stream, *Out,
+                       [Self = shared_from_this(), At, Link, Job,
+                        Out](error_code Failure, size_t) {
+                         if (Failure)
+                           return Self->fail(At, Job);
+                         Self->receive(At, Link, Job);
+                       });
+  }
+
+  void receive(const Address &At, const std::shared_ptr<Connection> &Link,
+               const std::shared_ptr<Exchange> &Job) {
+    Link->Parser.emplace();
+    Link->Parser->body_limit(Options.MaxBodyBytes);
+    bhttp::async_read(
+        Link->Stream, Link->Buffer, *Link->Parser,
+        [Self = shared_from_this(), At, Link, Job](error_code Failure, size_t) {
+          if (Failure)
+            return Self->fail(At, Job);
+          Self->complete(At, Link, Job);
+        });
+  }
+
+  void complete(const Address &At, const std::shared_ptr<Connection> &Link,
+                const std::shared_ptr<Exchange> &Job) {
+    auto Message = Link->Parser->release();
+    bool KeepAlive = Message.keep_alive();
+    Result Outcome;
+    Outcome.State = Delivery::Answered;
+    Outcome.Message.Status = static_cast<int>(Message.result_int());
+    Outcome.Message.ContentType =
+        std::string(Message[bhttp::field::content_type]);
+    Outcome.Message.Body = std::move(Message.body());
+    // The connection is free before the callback, which may send again.
+    if (KeepAlive)
+      reuse(At, Link);
+    else
+      drop(At);
+    Job->finish(std::move(Outcome));
+  }
+
+  /// The request may have been read by the peer, so its end is Lost.
+  void fail(const Address &At, const std::shared_ptr<Exchange> &Job) {
+    Result Outcome;
+    Outcome.State = Delivery::Lost;
+    Job->finish(std::move(Outcome));
+    drop(At);
+  }
+
+  void reuse(const Address &At, const std::shared_ptr<Connection> &Link) {
+    Peer &Target = Peers[At];
+    if (!Target.Waiting.empty()) {
+      std::shared_ptr<Exchange> Next = std::move(Target.Waiting.front());
+      Target.Waiting.pop_front();
+      return transmit(At, Link, Next);
+    }
+    Link->Stream.expires_never();
+    Link->IdleSince = std::chrono::steady_clock::now();
+    Target.Idle.push_back(Link);
+  }
+
+  void drop(const Address &At) {
+    Peer &Target = Peers[At];
+    --Target.Open;
+    if (Target.Waiting.empty())
+      return;
+    std::shared_ptr<Exchange> Next = std::move(Target.Waiting.front());
+    Target.Waiting.pop_front();
+    connect(At, Next);
+  }
+
+  void expire() {
+    SteadyTime Now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<Exchange>> Late;
+    for (auto It = Peers.begin(); It != Peers.end();) {
+      expireWaiting(It->second, Now, Late);
+      closeIdle(It->second, Now);
+      bool Unused = It->second.Open == 0 && It->second.Waiting.empty();
+      It = Unused ? Peers.erase(It) : std::next(It);
+    }
+    for (const std::shared_ptr<Exchange> &Job : Late)
+      Job->finish({});
+  }
+
+  static void expireWaiting(Peer &Target, SteadyTime Now,
+                            std::vector<std::shared_ptr<Exchange>> &Late) {
+    std::deque<std::shared_ptr<Exchange>> Kept;
+    for (std::shared_ptr<Exchange> &Job : Target.Waiting)
+      (Job->Deadline <= Now ? Late.push_back(std::move(Job))
+                            : Kept.push_back(std::move(Job)));
+    Target.Waiting.swap(Kept);
+  }
+
+  /// A connection that the peer has closed while idle is found here or when a
+  /// peek sees its end, so that few requests are lost on a dead connection.
+  void closeIdle(Peer &Target, SteadyTime Now) const {
+    auto IsDone = [&](const std::shared_ptr<Connection> &Link) {
+      if (Now - Link->IdleSince >= Options.IdleTimeout)
+        return true;
+      error_code Failure;
+      Link->Stream.socket().non_blocking(true, Failure);
+      char Byte = 0;
+      Link->Stream.socket().receive(asio::buffer(&Byte, 1),
+                                    Tcp::socket::message_peek, Failure);
+      return Failure != asio::error::would_block;
+    };
+    for (auto It = Target.Idle.begin(); It != Target.Idle.end();) {
+      if (!IsDone(*It)) {
+        ++It;
+        continue;
+      }
+      It = Target.Idle.erase(It);
+      --Target.Open;
+    }
+  }
+
+  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  asio::steady_timer Sweeper;
+  std::map<Address, Peer> Peers;
+};
+
+Client::Client(ClientOptions Options)
+    : State(std::make_shared<Impl>(Options)) {}
+
+Client::~Client() { stop(); }
+
+void Client::send(const Address &Peer, Request Message, Duration Timeout,
+                  Callback Done) {
+  auto Job = std::make_shared<Exchange>();
+  Job->Message = std::move(Message);
+  Job->Deadline = std::chrono::steady_clock::now() + Timeout;
+  Job->Done = std::move(Done);
+  asio::post(State->Context,
+             [Held = State, Peer, Job] { Held->begin(Peer, Job); });
+}
+
+void Client::run() {
+  State->sweep();
+  State->Context.run();
+}
+
+void Client::stop() { State->Context.stop(); }
+
+Result sendAndWait(const Address &Peer, const Request &Message,
+                   Duration Timeout) {
+  Client Sender{ClientOptions()};
+  Result Outcome;
+  Sender.send(Peer, Message, Timeout, [&](Result Received) {
+    Outcome = std::move(Received);
+    Sender.stop();
+  });
+  Sender.run();
+  return Outcome;
+}
+
+} // namespace teaselwalk::http
