--- /dev/null
+++ b/include/teaselwalk/engine/commands.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "teaselwalk/engine/action.hpp"
+
+#include <functional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace teaselwalk::engine {
+
+/// Collects the actions of the engine and finds the continuation of each
+/// answer by its command id. An answer with an unknown id, which is a late or
+/// repeated one, is dropped and counted.
+///
+/// ```cpp
+/// Out.store({StoreOperation::Read, "config/head"}, Timeout,
+///           [this](const protocol::StoreReply &Reply, TimePoint Now) { ... });
+/// ```
+class Commands {
+public:
+  using OnStore = std::function<void(const protocol::StoreReply &, TimePoint)>;
+  using OnEndpoint = std::function<void(const EndpointReply &, TimePoint)>;
+  using OnCallAnswer =
+      std::function<void(const protocol::CallAnswer &, TimePoint)>;
+  using OnCallFailure = std::function<void(protocol::Delivery, TimePoint)>;
+
+  void store(protocol::StoreRequest Request, Duration Timeout, OnStore Then);
+  void endpoint(const protocol::Address &To, EndpointCommand Message,
+                Duration Timeout, OnEndpoint Then);
+  void forward(const protocol::Address &To, protocol::ForwardedCall Call,
+               OnCallAnswer OnAnswer, OnCallFailure OnFailure);
+  void emit(Action Value) { Pending.push_back(std::move(Value)); }
+
+  void onStore(const StoreReplied &Event, TimePoint Now);
+  void onEndpoint(const EndpointReplied &Event, TimePoint Now);
+  void onCallAnswer(const PeerCallAnswered &Event, TimePoint Now);
+  void onCallFailure(const PeerCallFailed &Event, TimePoint Now);
+
+  /// Moves the collected actions to the end of \p Out.
+  void drainInto(Actions &Out);
+
+  uint64_t droppedAnswers() const { return Dropped; }
+  uint64_t storeCalls() const { return StoreCalls; }
+
+private:
+  struct ForwardHandlers {
+    OnCallAnswer OnAnswer;
+    OnCallFailure OnFailure;
+  };
+
+  CommandId Next = 1;
+  uint64_t Dropped = 0;
+  uint64_t StoreCalls = 0;
+  Actions Pending;
+  std::unordered_map<CommandId, OnStore> Stores;
+  std::unordered_map<CommandId, OnEndpoint> Endpoints;
+  std::unordered_map<CommandId, ForwardHandlers> Forwards;
+};
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/include/teaselwalk/engine/engine.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "teaselwalk/cluster/membership.hpp"
+#include "teaselwalk/engine/commands.hpp"
+#include "teaselwalk/engine/document_keeper.hpp"
+#include "teaselwalk/engine/options.hpp"
+#include "teaselwalk/engine/shard_worker.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+/// The decisions of one entry process. Holds no socket, thread or clock.
+namespace teaselwalk::engine {
+
+/// Turns events into actions. All calls come from one thread, with a time that
+/// never decreases.
+///
+/// ```cpp
+/// Engine Core(Options, Now);
+/// Actions Out;
+/// Core.handle(CallReceived{Token, Call}, Now, Out);
+/// for (Action &Step : Out) { ... }
+/// ```
+class Engine {
+public:
+  Engine(EngineOptions Options, TimePoint Now);
+
+  void handle(const Event &Value, TimePoint Now, Actions &Out);
+
+  /// Wall clock for notes that people read; milliseconds since 1970.
+  void setWallClock(int64_t Milliseconds) { WallClockMs = Milliseconds; }
+
+  /// True once a drain has ended: every caller is answered and every shard
+  /// handed over or given up.
+  bool isDrained(TimePoint Now) const;
+  /// Ready to take work: the document is confirmed and a shard is held.
+  bool isReady(TimePoint Now) const;
+
+  /// What this process tells its peers at \p Now.
+  protocol::Heartbeat heartbeat(TimePoint Now) const;
+
+private:
+  void on(const CallReceived &Event, TimePoint Now);
+  void on(const JobReceived &Event, TimePoint Now);
+  void on(const JobQuery &Event, TimePoint Now);
+  void on(const JobCancel &Event, TimePoint Now);
+  void on(const StatusQuery &Event, TimePoint Now);
+  void on(const EndpointReplied &Event, TimePoint Now);
+  void on(const StoreReplied &Event, TimePoint Now);
+  void on(const VmListReceived &Event, TimePoint Now);
+  void on(const HeartbeatReceived &Event, TimePoint Now);
+  void on(const HeartbeatAnswered &Event, TimePoint Now);
+  void on(const PeerCallReceived &Event, TimePoint Now);
+  void on(const PeerCallAnswered &Event, TimePoint Now);
+  void on(const PeerCallFailed &Event, TimePoint Now);
+  void on(const ProposalReceived &Event, TimePoint Now);
+  void on(const DrainRequested &Event, TimePoint Now);
+  void on(const Tick &Event, TimePoint Now);
+
+  // engine_calls.cpp
+  void placeCall(OpenCall Call, TimePoint Now);
+  bool forwardCall(OpenCall &Call, TimePoint Now);
+  protocol::Refusal checkAccess(const std::string &Key, const QueueId &Queue,
+                                TimePoint Now, TeamId &Team,
+                                std::string &Message) const;
+  ShardWorker *roomiest(TimePoint Now);
+
+  // engine_jobs.cpp
+  struct Acceptance;
+  void claim(const std::shared_ptr<Acceptance> &Request);
+  void writeJob(const std::shared_ptr<Acceptance> &Request);
+  void refuseJob(Token From, const JobId &Id, protocol::Refusal Reason,
+                 Verdict Outcome, std::string Message);
+  void statusFromStore(const JobQuery &Event, const TeamId &Team);
+  void cancelInStore(Token From, const JobId &Id, const TeamId &Team);
+  ShardWorker *holderOf(const JobId &Id, TimePoint Now);
+
+  void applyDocument(TimePoint Now);
+  void assignVms(TimePoint Now);
+  void updateWishes(TimePoint Now);
+  void updateStarts(TimePoint Now);
+  void sendHeartbeats(TimePoint Now);
+  void advanceDrain(TimePoint Now);
+  config::DataCentreState ownState() const;
+
+  EngineOptions Options;
+  Commands Out;
+  DocumentKeeper Keeper;
+  cluster::Membership Members;
+  std::map<uint32_t, std::unique_ptr<ShardWorker>> Workers;
+  std::vector<protocol::VmInfo> Vms;
+  uint64_t AppliedRevision = 0;
+  TimePoint NextVmList;
+  TimePoint NextHeartbeat;
+  int64_t WallClockMs = 0;
+  bool Draining = false;
+  bool Releasing = false;
+  size_t Forwarded = 0; ///< Calls of own callers at a peer.
+  uint64_t Refused = 0;
+};
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/include/teaselwalk/engine/options.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "teaselwalk/base/id.hpp"
+#include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cluster/shard_ownership.hpp"
+#include "teaselwalk/protocol/vm.hpp"
+#include "teaselwalk/schedule/scheduler_state.hpp"
+
+#include <cstdint>
+
+namespace teaselwalk::engine {
+
+/// Settings of one engine.
+struct EngineOptions {
+  ProcessId Self;
+  DataCentreId DataCentre;
+  protocol::Address PeerAddress; ///< Of this process's peer server.
+  uint64_t Seed = 1;
+
+  Duration TickInterval{20};       ///< Between two `Tick` events at most.
+  Duration HeadReadInterval{1000}; ///< Between reads of `config/head`.
+  Duration VmListInterval{2000};
+  Duration HeartbeatInterval{1000};
+  Duration StoreTimeout{2000};
+  Duration EndpointTimeout{2000}; ///< For attach, renew, stop and start.
+  Duration FlushInterval{1000};   ///< Between batches of ended tasks.
+  Duration ReloadInterval{10000}; ///< Between readings of a shard's jobs.
+  /// Longest time an ended job stays in memory and in the store.
+  Duration JobRetention{600000};
+  /// A forwarded call keeps this much of its deadline for the way back.
+  Duration ForwardMargin{20};
+
+  uint32_t MaxAttempts = 3; ///< Of one task of a batch or gang.
+  size_t MaxOpenCalls = 10000;
+  /// Ended tasks in one record, which bounds it below the store's 1 MB.
+  size_t MaxDoneBatch = 500;
+  size_t MaxResultBytes = 1024; ///< Kept of a job task's result.
+
+  cluster::ShardOwnershipOptions Ownership;
+  schedule::SchedulerOptions Scheduling;
+};
+
+} // namespace teaselwalk::engine
--- a/include/teaselwalk/protocol/caller.hpp
+++ b/include/teaselwalk/protocol/caller.hpp
@@ -157,7 +157,8 @@
   TaskState State = TaskState::Queued;
   Verdict Outcome = Verdict::NotRun;
   EndpointId Endpoint;
-  uint32_t Attempt = 0; ///< 0 before the first attempt.
+  uint32_t Attempt = 0; ///< Attempts so far.
+  std::string Result;   ///< Of a finished or failed task.
 };
 
 struct JobStatus {
--- a/include/teaselwalk/protocol/endpoint.hpp
+++ b/include/teaselwalk/protocol/endpoint.hpp
@@ -77,13 +77,30 @@
     {StopMode::Stop, "stop"},
 }};
 
-/// `POST /stop`.
+/// `POST /stop`. With mode Stop, an attempt that the endpoint does not know is
+/// refused for ever after: a run command that is still on its way then has no
+/// effect.
 struct StopCommand {
   Epoch Owner;
-  TaskId Task;
+  Attempt Id;
   StopMode Mode = StopMode::Stop;
 };
 
+/// What the endpoint knows of the attempt named by a stop command.
+enum class StopState { NeverStarted, Stopped, Finished, Continues };
+
+constexpr std::array<EnumName<StopState>, 4> StopStateNames = {{
+    {StopState::NeverStarted, "never_started"},
+    {StopState::Stopped, "stopped"},
+    {StopState::Finished, "finished"},
+    {StopState::Continues, "continues"}, // Throttled, or still checkpointing.
+}};
+
+/// Answer to stop.
+struct StopResult {
+  StopState State = StopState::Stopped;
+};
+
 /// Answer to attach and renew: the whole state of the endpoint.
 struct EndpointState {
   Epoch Owner; ///< The epoch that the endpoint holds now.
@@ -112,6 +129,8 @@
 void from_json(const nlohmann::json &Json, RenewCommand &Value);
 void to_json(nlohmann::json &Json, const StopCommand &Value);
 void from_json(const nlohmann::json &Json, StopCommand &Value);
+void to_json(nlohmann::json &Json, const StopResult &Value);
+void from_json(const nlohmann::json &Json, StopResult &Value);
 void to_json(nlohmann::json &Json, const EndpointState &Value);
 void from_json(const nlohmann::json &Json, EndpointState &Value);
 void to_json(nlohmann::json &Json, const RunResult &Value);
--- /dev/null
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -0,0 +1,167 @@
+#include "teaselwalk/engine/document_keeper.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/engine/durable_write.hpp"
+
+#include <utility>
+
+namespace teaselwalk::engine {
+
+using protocol::StoreReply;
+using protocol::StoreStatus;
+
+DocumentKeeper::DocumentKeeper(const EngineOptions &Options, Commands &Out)
+    : Options(Options), Out(Out) {}
+
+void DocumentKeeper::tick(TimePoint Now) {
+  bool Behind = Freshness.newestHeard() > Current.Revision;
+  if (!Reading && (Now >= NextRead || Behind))
+    readHead(Now);
+}
+
+void DocumentKeeper::readHead(TimePoint Now) {
+  Reading = true;
+  NextRead = Now + Options.HeadReadInterval;
+  protocol::StoreRequest Read;
+  Read.Key = config::HeadKey;
+  Read.Unless = HeadVersion;
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Now](const StoreReply &Reply, TimePoint Later) {
+              onHead(Reply, Now, Later);
+            });
+}
+
+void DocumentKeeper::onHead(const StoreReply &Reply, TimePoint SentAt,
+                            TimePoint Now) {
+  Reading = false;
+  if (Reply.Status == StoreStatus::Unchanged) {
+    Freshness.onRead(Head.Revision, SentAt);
+    // A whole copy that could not be read is read now.
+    if (Head.Revision > Current.Revision)
+      follow(Head, Now);
+    return;
+  }
+  if (Reply.Status != StoreStatus::Ok) {
+    bool IsDown = Reply.Status != StoreStatus::NotFound;
+    if (IsDown)
+      Out.emit(RecordEvent{
+          EventName::StoreUnavailable,
+          {{"status",
+            std::string(nameOf(protocol::StoreStatusNames, Reply.Status))}}});
+    return;
+  }
+  try {
+    config::HeadRecord Next = config::parseHead(Reply.Value);
+    if (Next.Revision < Current.Revision)
+      return;
+    HeadVersion = Reply.Version;
+    Freshness.onRead(Next.Revision, SentAt);
+    follow(Next, Now);
+  } catch (const Error &Failure) {
+    Out.emit(RecordEvent{EventName::DocumentStale, {{"why", Failure.what()}}});
+  }
+}
+
+void DocumentKeeper::follow(const config::HeadRecord &Next, TimePoint Now) {
+  Head = Next;
+  switch (config::advance(Current, Head)) {
+  case config::AdvanceState::Advanced:
+    return adopted();
+  case config::AdvanceState::NeedsCopy:
+    return readCopy(Head.Copy, Now);
+  case config::AdvanceState::Same:
+  case config::AdvanceState::Older:
+    return;
+  }
+}
+
+void DocumentKeeper::readCopy(uint64_t Revision, TimePoint Now) {
+  Reading = true;
+  NextRead = Now + Options.HeadReadInterval;
+  protocol::StoreRequest Read;
+  Read.Key = config::documentKey(Revision);
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Revision](const StoreReply &Reply, TimePoint) {
+              Reading = false;
+              if (Reply.Status != StoreStatus::Ok)
+                return;
+              try {
+                config::Snapshot Copy =
+                    config::snapshotOf(Revision, Reply.Value);
+                if (config::advance(Copy, Head) ==
+                    config::AdvanceState::Advanced)
+                  Current = std::move(Copy);
+                else if (Copy.Revision == Head.Revision)
+                  Current = std::move(Copy);
+                adopted();
+              } catch (const Error &Failure) {
+                Out.emit(RecordEvent{EventName::DocumentStale,
+                                     {{"why", Failure.what()}}});
+              }
+            });
+}
+
+void DocumentKeeper::adopted() {
+  std::vector<ProcessId> Writers;
+  for (const config::Writer &Row : Head.Writers)
+    Writers.push_back(Row.Process);
+  Freshness.adopt(Current.Revision, Writers);
+  if (const auto *Centre =
+          config::findDataCentre(Current.Content, Options.DataCentre))
+    Freshness.setCutOffService(Centre->CutOffService);
+  Out.emit(RecordEvent{EventName::DocumentApplied,
+                       {{"revision", std::to_string(Current.Revision)}}});
+}
+
+void DocumentKeeper::onPeer(uint64_t Revision, Duration Age,
+                            TimePoint BeforeRequest) {
+  Freshness.onPeer(Revision, Age, BeforeRequest);
+}
+
+void DocumentKeeper::propose(const ProposalReceived &Change,
+                             int64_t WallClockMs, TimePoint Now) {
+  if (Change.BaseRevision != Current.Revision ||
+      Head.Revision != Current.Revision) {
+    NextRead = Now;
+    return answer(Change.From, ProposalOutcome::Conflict);
+  }
+  config::Document Next = config::parseDocument(Change.DocumentJson);
+  config::NextHead Record = config::nextHead(
+      Head, Current, Next, {Change.Who, WallClockMs, Change.Why});
+  if (!Record.CopyBefore)
+    return writeHead(Record, Change.From);
+  writeDurably(Out, config::documentKey(Current.Revision),
+               config::serialise(Current.Content), 0, Options.StoreTimeout,
+               [this, Record, From = Change.From](const WriteResult &Result,
+                                                  TimePoint) {
+                 bool Present = Result.Outcome == WriteOutcome::Applied ||
+                                Result.Outcome == WriteOutcome::Conflict;
+                 if (!Present)
+                   return answer(From, ProposalOutcome::StoreUnavailable);
+                 writeHead(Record, From);
+               });
+}
+
+void DocumentKeeper::writeHead(const config::NextHead &Next, Token From) {
+  writeDurably(
+      Out, config::HeadKey, config::serialise(Next.Head), HeadVersion,
+      Options.StoreTimeout,
+      [this, From](const WriteResult &Result, TimePoint Now) {
+        static constexpr std::array<ProposalOutcome, 4> Outcomes = {
+            ProposalOutcome::Accepted, ProposalOutcome::Conflict,
+            ProposalOutcome::StoreUnavailable, ProposalOutcome::Unknown};
+        NextRead = Now;
+        if (Result.Outcome == WriteOutcome::Applied)
+          Freshness.onPeer(Current.Revision + 1, Duration(0), Now);
+        answer(From, Outcomes[static_cast<size_t>(Result.Outcome)]);
+      });
+}
+
+void DocumentKeeper::answer(Token To, ProposalOutcome Outcome) {
+  uint64_t Revision = Outcome == ProposalOutcome::Accepted
+                          ? Freshness.newestHeard()
+                          : Current.Revision;
+  Out.emit(AnswerProposal{To, Outcome, Revision});
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/engine.cpp
@@ -0,0 +1,240 @@
+#include "teaselwalk/engine/engine.hpp"
+
+#include "teaselwalk/cluster/sharding.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <utility>
+
+namespace teaselwalk::engine {
+
+Engine::Engine(EngineOptions Given, TimePoint Now)
+    : Options(std::move(Given)), Keeper(Options, Out),
+      Members(Options.Self, Options.DataCentre, Options.PeerAddress,
+              Options.Seed, Now) {}
+
+void Engine::handle(const Event &Value, TimePoint Now, Actions &Actions) {
+  std::visit([&](const auto &Kind) { on(Kind, Now); }, Value);
+  Out.drainInto(Actions);
+}
+
+void Engine::on(const Tick & /*Event*/, TimePoint Now) {
+  Keeper.tick(Now);
+  if (Keeper.revision() != AppliedRevision)
+    applyDocument(Now);
+  if (Now >= NextVmList) {
+    NextVmList = Now + Options.VmListInterval;
+    Out.emit(FetchVmList{});
+  }
+  Members.tick(Now);
+  updateWishes(Now);
+  updateStarts(Now);
+  for (auto &Row : Workers)
+    Row.second->tick(Now);
+  sendHeartbeats(Now);
+  if (Draining)
+    advanceDrain(Now);
+}
+
+void Engine::on(const EndpointReplied &Event, TimePoint Now) {
+  updateStarts(Now);
+  Out.onEndpoint(Event, Now);
+}
+
+void Engine::on(const StoreReplied &Event, TimePoint Now) {
+  Out.onStore(Event, Now);
+}
+
+void Engine::on(const VmListReceived &Event, TimePoint Now) {
+  Vms = Event.Vms;
+  std::vector<cluster::Contact> Contacts;
+  for (const protocol::VmInfo &Vm : Vms)
+    if (Vm.Role == protocol::VmRole::Entry)
+      Contacts.push_back({Vm.DataCentre, Vm.At});
+  Members.setAddresses(Contacts, Now);
+  assignVms(Now);
+}
+
+void Engine::on(const HeartbeatReceived &Event, TimePoint Now) {
+  Members.onHeartbeat(Event.Beat, Now);
+}
+
+void Engine::on(const HeartbeatAnswered &Event, TimePoint Now) {
+  Members.onHeartbeat(Event.Beat, Now);
+  const protocol::Heartbeat &Beat = Event.Beat;
+  // A negative age marks a document that was never confirmed.
+  if (Beat.Revision > 0 && Beat.DocumentAge.count() >= 0)
+    Keeper.onPeer(Beat.Revision, Beat.DocumentAge, Event.SentAt);
+  for (const protocol::Attestation &Row : Beat.Attestations)
+    Keeper.freshness().onAttestation(Row, Event.SentAt);
+}
+
+void Engine::on(const ProposalReceived &Event, TimePoint Now) {
+  Keeper.propose(Event, WallClockMs, Now);
+}
+
+void Engine::on(const DrainRequested & /*Event*/, TimePoint Now) {
+  if (Draining)
+    return;
+  Draining = true;
+  Out.emit(RecordEvent{EventName::DrainStarted, {}});
+  NextHeartbeat = Now;
+}
+
+config::DataCentreState Engine::ownState() const {
+  const auto *Centre =
+      config::findDataCentre(Keeper.document(), Options.DataCentre);
+  return Centre ? Centre->State : config::DataCentreState::Out;
+}
+
+void Engine::applyDocument(TimePoint Now) {
+  AppliedRevision = Keeper.revision();
+  const config::Document &Document = Keeper.document();
+  size_t AllShards = 0;
+  for (const config::DataCentre &Centre : Document.DataCentres)
+    AllShards += Centre.Shards;
+  const auto *Own = config::findDataCentre(Document, Options.DataCentre);
+  uint32_t Count = Own ? Own->Shards : 0;
+  for (uint32_t Number = 0; Number < Count; ++Number)
+    if (Workers.count(Number) == 0)
+      Workers.emplace(Number, std::make_unique<ShardWorker>(
+                                  protocol::ShardId{Options.DataCentre, Number},
+                                  Options, Out));
+  for (auto &Row : Workers)
+    Row.second->setDocument(Document, AllShards);
+  assignVms(Now);
+}
+
+void Engine::assignVms(TimePoint Now) {
+  const auto *Own =
+      config::findDataCentre(Keeper.document(), Options.DataCentre);
+  if (!Own || Vms.empty())
+    return;
+  std::map<uint32_t, std::vector<protocol::VmInfo>> ByShard;
+  std::set<std::string> EntryNames;
+  for (const protocol::VmInfo &Vm : Vms) {
+    if (Vm.Role == protocol::VmRole::Entry)
+      EntryNames.insert(Vm.Name);
+    else if (Vm.DataCentre == Options.DataCentre)
+      ByShard[cluster::shardOf(EndpointId(Vm.Name), {Own->Shards})].push_back(
+          Vm);
+  }
+  for (auto &Row : Workers)
+    Row.second->setVms(ByShard[Row.first], EntryNames, Now);
+}
+
+void Engine::updateWishes(TimePoint Now) {
+  // Before this process has heard its peers it would take shards from them.
+  if (!Members.settled(Now) || AppliedRevision == 0)
+    return;
+  for (auto &Row : Workers)
+    Row.second->setWish(
+        Members.wishFor({Options.DataCentre, Row.first}, Draining, Now), Now);
+}
+
+void Engine::updateStarts(TimePoint Now) {
+  bool IsFresh =
+      Keeper.freshness().allowed(cluster::Permission::StartTask, Now);
+  config::DataCentreState State = ownState();
+  for (auto &Row : Workers) {
+    Row.second->setStartsAllowed(IsFresh &&
+                                 State == config::DataCentreState::In);
+    if (State == config::DataCentreState::Out && AppliedRevision > 0)
+      Row.second->stopAll();
+  }
+}
+
+protocol::Heartbeat Engine::heartbeat(TimePoint Now) const {
+  protocol::Heartbeat Beat;
+  Beat.From = Options.Self;
+  Beat.DataCentre = Options.DataCentre;
+  Beat.At = Options.PeerAddress;
+  Beat.Leaving = Draining;
+  Beat.Revision = Keeper.revision();
+  Beat.DocumentAge = Keeper.freshness().age(Now).value_or(Duration(-1));
+  Beat.Attestations = Keeper.freshness().attestations(Now);
+  for (const auto &Row : Workers) {
+    if (!Row.second->hasAuthority(Now))
+      continue;
+    Beat.Shards.push_back(Row.first);
+    Beat.Free += Row.second->room();
+  }
+  return Beat;
+}
+
+void Engine::sendHeartbeats(TimePoint Now) {
+  if (Now < NextHeartbeat)
+    return;
+  NextHeartbeat = Now + Options.HeartbeatInterval;
+  protocol::Heartbeat Beat = heartbeat(Now);
+  for (const protocol::Address &To : Members.heartbeatTargets())
+    if (To != Options.PeerAddress)
+      Out.emit(SendHeartbeat{To, Beat});
+}
+
+void Engine::advanceDrain(TimePoint Now) {
+  size_t Open = Forwarded;
+  for (const auto &Row : Workers)
+    Open += Row.second->openCalls();
+  if (Open > 0 || Releasing)
+    return;
+  Releasing = true;
+  for (auto &Row : Workers)
+    Row.second->release(Now);
+}
+
+bool Engine::isDrained(TimePoint /*Now*/) const {
+  if (!Releasing)
+    return false;
+  for (const auto &Row : Workers)
+    if (!Row.second->released())
+      return false;
+  return true;
+}
+
+bool Engine::isReady(TimePoint Now) const {
+  if (Draining || AppliedRevision == 0 ||
+      !Keeper.freshness().allowed(cluster::Permission::StartTask, Now))
+    return false;
+  for (const auto &Row : Workers)
+    if (Row.second->hasAuthority(Now))
+      return true;
+  return false;
+}
+
+void Engine::on(const StatusQuery &Event, TimePoint Now) {
+  nlohmann::json Shards = nlohmann::json::array();
+  for (const auto &Row : Workers) {
+    ShardStatus Value = Row.second->status(Now);
+    Shards.push_back(
+        {{"shard", Value.Shard.Number},
+         {"state", nameOf(cluster::OwnershipStateNames, Value.State)},
+         {"epoch", Value.Owner.Counter},
+         {"jobs_loaded", Value.JobsLoaded},
+         {"endpoints", Value.Endpoints},
+         {"unreachable", Value.Unreachable},
+         {"queued", Value.Queued},
+         {"active", Value.Active},
+         {"jobs", Value.Jobs},
+         {"free", Value.Free}});
+  }
+  auto Age = Keeper.freshness().age(Now);
+  nlohmann::json Json = {
+      {"process", Options.Self.str()},
+      {"data_centre", Options.DataCentre.str()},
+      {"ready", isReady(Now)},
+      {"draining", Draining},
+      {"revision", Keeper.revision()},
+      {"document_age_ms", Age ? Age->count() : -1},
+      {"data_centre_state",
+       nameOf(config::DataCentreStateNames, ownState())},
+      {"members", Members.members().size()},
+      {"refused", Refused},
+      {"dropped_answers", Out.droppedAnswers()},
+      {"store_calls", Out.storeCalls()},
+      {"shards", std::move(Shards)}};
+  Out.emit(AnswerStatus{Event.From, Json.dump()});
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/engine_calls.cpp
@@ -0,0 +1,177 @@
+#include "teaselwalk/engine/engine.hpp"
+
+#include "teaselwalk/config/access.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Quick calls: access, choice of a shard, forwarding to a peer.
+namespace teaselwalk::engine {
+
+using protocol::Refusal;
+
+namespace {
+
+struct AccessRule {
+  bool NeedsKey;
+  cluster::Permission Needs;
+};
+
+AccessRule ruleOf(const config::Queue &Queue) {
+  bool NeedsKey = Queue.Access == config::QueueAccess::Keyed;
+  return {NeedsKey, NeedsKey ? cluster::Permission::AcceptWithKey
+                             : cluster::Permission::AcceptOpen};
+}
+
+} // namespace
+
+Refusal Engine::checkAccess(const std::string &Key, const QueueId &Queue,
+                            TimePoint Now, TeamId &Team,
+                            std::string &Message) const {
+  auto Refuse = [&](Refusal Reason, const char *Text) {
+    Message = Text;
+    return Reason;
+  };
+  if (Draining)
+    return Refuse(Refusal::ShuttingDown, "this process is shutting down");
+  const config::Document &Document = Keeper.document();
+  const config::Queue *Found = config::findQueue(Document, Queue);
+  bool IsFresh = Keeper.freshness().allowed(
+      Found ? ruleOf(*Found).Needs : cluster::Permission::AcceptOpen, Now);
+  if (!IsFresh)
+    return Refuse(Refusal::StaleDocument,
+                  "the configuration cannot be confirmed at present");
+  auto Caller = config::authenticate(Document, Key);
+  if (!Caller && (!Key.empty() || !Found || ruleOf(*Found).NeedsKey))
+    return Refuse(Refusal::UnknownKey, "no valid team key");
+  if (!Found)
+    return Refuse(Refusal::NotFound, "no such queue");
+  auto Charged = config::chargedTeam(Document, Queue, Caller);
+  if (!Charged)
+    return Refuse(Refusal::Forbidden, "the team may not use this queue");
+  if (ownState() != config::DataCentreState::In)
+    return Refuse(Refusal::DataCentreOut, "the data centre takes no new work");
+  Team = *Charged;
+  return Refusal::None;
+}
+
+ShardWorker *Engine::roomiest(TimePoint Now) {
+  ShardWorker *Best = nullptr;
+  int64_t Most = -1;
+  for (auto &Row : Workers) {
+    if (!Row.second->hasAuthority(Now))
+      continue;
+    int64_t Slots = std::max<int64_t>(Row.second->room().Slots, 0);
+    if (Slots <= Most)
+      continue;
+    Most = Slots;
+    Best = Row.second.get();
+  }
+  return Best;
+}
+
+void Engine::on(const CallReceived &Event, TimePoint Now) {
+  OpenCall Call;
+  Call.Request = Event.Call;
+  Call.DeadlineAt = Now + Event.Call.Deadline;
+  Call.Answer = [this, To = Event.From](const protocol::CallAnswer &Answer) {
+    Out.emit(AnswerCall{To, Answer});
+  };
+  placeCall(std::move(Call), Now);
+}
+
+void Engine::on(const PeerCallReceived &Event, TimePoint Now) {
+  OpenCall Call;
+  Call.Request = Event.Forwarded.Call;
+  Call.Hops = Event.Forwarded.Hops;
+  Call.DeadlineAt = Now + Call.Request.Deadline;
+  Call.Answer = [this, To = Event.From, PeerToken = Event.PeerToken](
+                    const protocol::CallAnswer &Answer) {
+    Out.emit(AnswerPeerCall{To, PeerToken, Answer});
+  };
+  placeCall(std::move(Call), Now);
+}
+
+void Engine::placeCall(OpenCall Call, TimePoint Now) {
+  auto Refuse = [&](Refusal Reason, std::string Message, Duration RetryAfter) {
+    ++Refused;
+    Out.emit(RecordEvent{
+        EventName::RequestRefused,
+        {{"request", Call.Request.Request.str()},
+         {"reason", std::string(protocol::rowOf(Reason).Name)}}});
+    Call.Answer(
+        refuseCall(Call.Request, Reason, std::move(Message), RetryAfter));
+  };
+  std::string Message;
+  Refusal Reason = checkAccess(Call.Request.Key, Call.Request.Queue, Now,
+                               Call.Team, Message);
+  if (Reason != Refusal::None)
+    return Refuse(Reason, Message, Duration(0));
+  ShardWorker *Worker = roomiest(Now);
+  bool HasRoom = Worker && fits(Call.Request.Size, Worker->room());
+  if (!HasRoom && forwardCall(Call, Now))
+    return;
+  if (!Worker)
+    return Refuse(Refusal::Overloaded, "this process holds no shard",
+                  Duration(1000));
+  if (Worker->openCalls() >= Options.MaxOpenCalls)
+    return Refuse(Refusal::Overloaded, "too many open calls", Duration(1000));
+  Out.emit(RecordEvent{EventName::CallAccepted,
+                       {{"request", Call.Request.Request.str()},
+                        {"team", Call.Team.str()}}});
+  schedule::Admission Result = Worker->admitCall(Call, Now);
+  if (!Result)
+    Refuse(Result.Reason, Result.Message, Result.RetryAfter);
+}
+
+bool Engine::forwardCall(OpenCall &Call, TimePoint Now) {
+  Duration Left = Call.DeadlineAt - Now - Options.ForwardMargin;
+  if (Call.Hops > 0 || Left <= Duration(0))
+    return false;
+  const cluster::Member *Best = nullptr;
+  for (const auto &Row : Members.members()) {
+    const cluster::Member &Item = Row.second;
+    bool Usable =
+        !Item.Leaving &&
+        Members.stateOf(Row.first, Now) == cluster::MemberState::Live &&
+        fits(Call.Request.Size, Item.Free);
+    if (Usable && (!Best || Item.Free.Slots > Best->Free.Slots))
+      Best = &Item;
+  }
+  if (!Best)
+    return false;
+  protocol::ForwardedCall Message;
+  Message.Call = Call.Request;
+  Message.Call.Deadline = Left;
+  Message.Hops = Call.Hops + 1;
+  Out.emit(RecordEvent{EventName::CallForwarded,
+                       {{"request", Call.Request.Request.str()},
+                        {"to", Best->Process.str()}}});
+  ++Forwarded;
+  auto Held = std::make_shared<OpenCall>(std::move(Call));
+  Out.forward(
+      Best->At, std::move(Message),
+      [this, Held](const protocol::CallAnswer &Answer, TimePoint) {
+        --Forwarded;
+        Held->Answer(Answer);
+      },
+      [this, Held](protocol::Delivery State, TimePoint) {
+        --Forwarded;
+        protocol::CallAnswer Answer =
+            refuseCall(Held->Request, Refusal::Overloaded,
+                       "the process with room did not answer", Duration(1000));
+        Answer.Outcome = protocol::verdictWithoutAnswer(State);
+        Held->Answer(Answer);
+      });
+  return true;
+}
+
+void Engine::on(const PeerCallAnswered &Event, TimePoint Now) {
+  Out.onCallAnswer(Event, Now);
+}
+
+void Engine::on(const PeerCallFailed &Event, TimePoint Now) {
+  Out.onCallFailure(Event, Now);
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/engine_jobs.cpp
@@ -0,0 +1,249 @@
+#include "teaselwalk/engine/engine.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/config/access.hpp"
+#include "teaselwalk/engine/durable_write.hpp"
+#include "teaselwalk/engine/record.hpp"
+
+#include <utility>
+
+/// Jobs: acceptance, status and cancellation.
+namespace teaselwalk::engine {
+
+using protocol::Refusal;
+using protocol::StoreReply;
+using protocol::StoreStatus;
+
+/// A submission between its arrival and its answer.
+struct Engine::Acceptance {
+  Token From = 0;
+  RequestId Request;
+  Job Value;
+};
+
+void Engine::refuseJob(Token From, const JobId &Id, Refusal Reason,
+                       Verdict Outcome, std::string Message) {
+  ++Refused;
+  Out.emit(RecordEvent{EventName::RequestRefused,
+                       {{"job", Id.str()},
+                        {"reason", std::string(protocol::rowOf(Reason).Name)}}});
+  Out.emit(AnswerJob{From, Id, Reason, Outcome, std::move(Message)});
+}
+
+void Engine::on(const JobReceived &Event, TimePoint Now) {
+  const protocol::JobSpec &Spec = Event.Job.Spec;
+  TeamId Team;
+  std::string Message;
+  Refusal Reason =
+      checkAccess(Event.Job.Key, Spec.Queue, Now, Team, Message);
+  if (Reason != Refusal::None)
+    return refuseJob(Event.From, {}, Reason, Verdict::NotRun, Message);
+  ShardWorker *Worker = roomiest(Now);
+  if (!Worker)
+    return refuseJob(Event.From, {}, Refusal::Overloaded, Verdict::NotRun,
+                     "this process holds no shard");
+  schedule::Admission Check = Worker->checkJob(Team, Spec);
+  if (!Check)
+    return refuseJob(Event.From, {}, Check.Reason, Verdict::NotRun,
+                     Check.Message);
+  auto Request = std::make_shared<Acceptance>();
+  Request->From = Event.From;
+  Request->Request = Event.Job.Request;
+  JobId Id = makeJobId(Worker->status(Now).Shard, Team, Event.Job.Request);
+  Request->Value = makeJob(Id, Team, Spec);
+  claim(Request);
+}
+
+void Engine::claim(const std::shared_ptr<Acceptance> &Request) {
+  const Job &Value = Request->Value;
+  writeDurably(
+      Out, claimKey(Value.Team, Request->Request), Value.Id.str(), 0,
+      Options.StoreTimeout,
+      [this, Request](const WriteResult &Result, TimePoint) {
+        switch (Result.Outcome) {
+        case WriteOutcome::Applied:
+          return writeJob(Request);
+        case WriteOutcome::Conflict:
+          // The request id has a home already: record the job there.
+          Request->Value.Id = JobId(Result.Value);
+          return writeJob(Request);
+        case WriteOutcome::NotApplied:
+        case WriteOutcome::Unknown:
+          // Without its record the job cannot run, claimed or not.
+          return refuseJob(Request->From, Request->Value.Id,
+                           Refusal::StoreUnavailable, Verdict::NotRun,
+                           "the job cannot be recorded at present");
+        }
+      });
+}
+
+void Engine::writeJob(const std::shared_ptr<Acceptance> &Request) {
+  const Job &Value = Request->Value;
+  writeDurably(
+      Out, jobKey(Value.Id), encodeJob(Value), 0, Options.StoreTimeout,
+      [this, Request](const WriteResult &Result, TimePoint Now) {
+        Job &Accepted = Request->Value;
+        switch (Result.Outcome) {
+        case WriteOutcome::Applied:
+          Accepted.Version = Result.Version;
+          if (ShardWorker *Worker = holderOf(Accepted.Id, Now))
+            Worker->addJob(Accepted, Now);
+          break;
+        case WriteOutcome::Conflict: // An earlier submission recorded it.
+          break;
+        case WriteOutcome::NotApplied:
+          return refuseJob(Request->From, Accepted.Id,
+                           Refusal::StoreUnavailable, Verdict::NotRun,
+                           "the job cannot be recorded at present");
+        case WriteOutcome::Unknown:
+          return refuseJob(
+              Request->From, Accepted.Id, Refusal::StoreUnavailable,
+              Verdict::MayHaveRun,
+              "the job may have been recorded; ask for its status or submit "
+              "it again with the same request id");
+        }
+        Out.emit(AnswerJob{Request->From, Accepted.Id, Refusal::None,
+                           Verdict::NotRun, {}});
+      });
+}
+
+ShardWorker *Engine::holderOf(const JobId &Id, TimePoint Now) {
+  auto Home = homeOf(Id);
+  if (!Home || Home->DataCentre != Options.DataCentre)
+    return nullptr;
+  auto Found = Workers.find(Home->Number);
+  if (Found == Workers.end() || !Found->second->hasAuthority(Now))
+    return nullptr;
+  return Found->second.get();
+}
+
+void Engine::on(const JobQuery &Event, TimePoint Now) {
+  auto Team = config::authenticate(Keeper.document(), Event.Key);
+  if (!Team) {
+    Out.emit(AnswerJobStatus{Event.From, Refusal::UnknownKey, {}});
+    return;
+  }
+  ShardWorker *Worker = holderOf(Event.Job, Now);
+  const Job *Found = Worker ? Worker->findJob(Event.Job) : nullptr;
+  if (!Found)
+    return statusFromStore(Event, *Team);
+  if (Found->Team != *Team) {
+    Out.emit(AnswerJobStatus{Event.From, Refusal::NotFound, {}});
+    return;
+  }
+  Out.emit(AnswerJobStatus{Event.From, Refusal::None, statusOf(*Found)});
+}
+
+namespace {
+
+/// Enters the ended tasks of \p Value that the batches name.
+void applyBatches(Job &Value, const std::vector<protocol::StoreEntry> &Batches) {
+  for (const protocol::StoreEntry &Entry : Batches)
+    for (const DoneTask &Item : decodeDone(Entry.Value)) {
+      if (Item.Job != Value.Id || Item.Index >= Value.Tasks.size())
+        continue;
+      JobTask &Row = Value.Tasks[Item.Index];
+      Row.State = Item.Ok ? protocol::TaskState::Finished
+                          : protocol::TaskState::Failed;
+      Row.Outcome = Item.Outcome;
+      Row.Endpoint = Item.Endpoint;
+      Row.Result = Item.Result;
+    }
+}
+
+} // namespace
+
+void Engine::statusFromStore(const JobQuery &Event, const TeamId &Team) {
+  auto Answer = [this, From = Event.From](Refusal Reason,
+                                          protocol::JobStatus Status) {
+    Out.emit(AnswerJobStatus{From, Reason, std::move(Status)});
+  };
+  auto Home = homeOf(Event.Job);
+  if (!Home)
+    return Answer(Refusal::NotFound, {});
+  protocol::StoreRequest Read;
+  Read.Key = jobKey(Event.Job);
+  Out.store(
+      std::move(Read), Options.StoreTimeout,
+      [this, Answer, Team, Home](const StoreReply &Reply, TimePoint) {
+        if (Reply.Status == StoreStatus::NotFound)
+          return Answer(Refusal::NotFound, {});
+        if (Reply.Status != StoreStatus::Ok)
+          return Answer(Refusal::StoreUnavailable, {});
+        Job Value = decodeJob(Reply.Value, Reply.Version);
+        if (Value.Team != Team)
+          return Answer(Refusal::NotFound, {});
+        protocol::StoreRequest List;
+        List.Operation = protocol::StoreOperation::List;
+        List.Key = donePrefix(*Home);
+        Out.store(std::move(List), Options.StoreTimeout,
+                  [Answer, Value](const StoreReply &Batches, TimePoint) {
+                    if (Batches.Status != StoreStatus::Ok)
+                      return Answer(Refusal::StoreUnavailable, {});
+                    Job Recorded = Value;
+                    for (JobTask &Row : Recorded.Tasks)
+                      Row.State = protocol::TaskState::Unknown;
+                    applyBatches(Recorded, Batches.Entries);
+                    protocol::JobStatus Status = statusOf(Recorded);
+                    Status.Reason = "as recorded; the owner of the shard is "
+                                    "another process";
+                    Answer(Refusal::None, std::move(Status));
+                  });
+      });
+}
+
+void Engine::on(const JobCancel &Event, TimePoint Now) {
+  auto Team = config::authenticate(Keeper.document(), Event.Key);
+  if (!Team) {
+    Out.emit(AnswerJobStatus{Event.From, Refusal::UnknownKey, {}});
+    return;
+  }
+  ShardWorker *Worker = holderOf(Event.Job, Now);
+  const Job *Found = Worker ? Worker->findJob(Event.Job) : nullptr;
+  if (!Found)
+    return cancelInStore(Event.From, Event.Job, *Team);
+  if (Found->Team != *Team) {
+    Out.emit(AnswerJobStatus{Event.From, Refusal::NotFound, {}});
+    return;
+  }
+  Worker->cancelJob(
+      Event.Job, Now, [this, Worker, Event](bool IsRecorded) {
+        const Job *Value = Worker->findJob(Event.Job);
+        if (!IsRecorded || !Value) {
+          Out.emit(AnswerJobStatus{Event.From, Refusal::StoreUnavailable, {}});
+          return;
+        }
+        Out.emit(AnswerJobStatus{Event.From, Refusal::None, statusOf(*Value)});
+      });
+}
+
+void Engine::cancelInStore(Token From, const JobId &Id, const TeamId &Team) {
+  auto Answer = [this, From](Refusal Reason, protocol::JobStatus Status) {
+    Out.emit(AnswerJobStatus{From, Reason, std::move(Status)});
+  };
+  protocol::StoreRequest Read;
+  Read.Key = jobKey(Id);
+  Out.store(
+      std::move(Read), Options.StoreTimeout,
+      [this, Answer, Team](const StoreReply &Reply, TimePoint) {
+        if (Reply.Status == StoreStatus::NotFound)
+          return Answer(Refusal::NotFound, {});
+        if (Reply.Status != StoreStatus::Ok)
+          return Answer(Refusal::StoreUnavailable, {});
+        Job Value = decodeJob(Reply.Value, Reply.Version);
+        if (Value.Team != Team)
+          return Answer(Refusal::NotFound, {});
+        if (isEnded(Value.State))
+          return Answer(Refusal::None, statusOf(Value));
+        Value.State = protocol::JobState::Cancelled;
+        writeDurably(Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
+                     Options.StoreTimeout,
+                     [Answer, Value](const WriteResult &Result, TimePoint) {
+                       if (Result.Outcome != WriteOutcome::Applied)
+                         return Answer(Refusal::StoreUnavailable, {});
+                       Answer(Refusal::None, statusOf(Value));
+                     });
+      });
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -0,0 +1,373 @@
+#include "teaselwalk/engine/shard_worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselwalk::engine {
+namespace {
+
+using cluster::OwnershipAction;
+using cluster::OwnershipCommand;
+using cluster::OwnershipState;
+
+uint64_t seedFor(const EngineOptions &Options, const protocol::ShardId &Shard) {
+  return Options.Seed * 64 + Shard.Number;
+}
+
+/// Process ids are `<VM name>#<incarnation>`.
+std::string vmNameOf(const ProcessId &Process) {
+  return Process.str().substr(0, Process.str().find('#'));
+}
+
+} // namespace
+
+ShardWorker::ShardWorker(protocol::ShardId Shard, const EngineOptions &Options,
+                         Commands &Out)
+    : Shard(Shard), Options(Options), Out(Out),
+      Owner(Shard, Options.Self, seedFor(Options, Shard), Options.Ownership),
+      Guard(Options.Ownership.TaskLease), Queue(Options.Scheduling),
+      Done(std::move(Shard), Options, Out,
+           [this](const EndpointId &Endpoint, const protocol::Attempt &Id) {
+             Acks[Endpoint].push_back(Id);
+           }) {}
+
+void ShardWorker::setVms(const std::vector<protocol::VmInfo> &Endpoints,
+                         const std::set<std::string> &EntryNames,
+                         TimePoint Now) {
+  std::map<EndpointId, protocol::VmInfo> Next;
+  std::vector<cluster::ShardEndpoint> List;
+  for (const protocol::VmInfo &Vm : Endpoints) {
+    EndpointId Id(Vm.Name);
+    Next.emplace(Id, Vm);
+    List.push_back({Id, Vm.At, Vm.State == protocol::VmState::Leaving});
+    if (Vms.count(Id) == 0)
+      Guard.onAddedToList(Id);
+  }
+  for (const auto &Row : Vms) {
+    if (Next.count(Row.first) != 0)
+      continue;
+    // The platform says that the VM is gone, so nothing runs there.
+    Guard.onRemovedFromList(Row.first);
+    for (const TaskId &Task : Ledger.tasksOn(Row.first))
+      end(Ledger.find(Task)->Id, EndKind::Vanished, false, "VM is gone", Now);
+    Queue.removeEndpoint(Row.first);
+    Capacities.erase(Row.first);
+    SaysLeaving.erase(Row.first);
+    Full.erase(Row.first);
+    Acks.erase(Row.first);
+  }
+  Vms = std::move(Next);
+  EntryVms = EntryNames;
+  for (const ProcessId &Process : FormerOwners) {
+    if (EntryVms.count(vmNameOf(Process)) == 0)
+      Guard.onOwnerGone(Process, Now);
+    else
+      Guard.onOwnerBack(Process);
+  }
+  Owner.setEndpoints(List, Now);
+}
+
+void ShardWorker::setDocument(const config::Document &Document,
+                              size_t AllShards) {
+  auto Divisor = static_cast<int64_t>(std::max<size_t>(AllShards, 1));
+  std::set<TeamId> Present;
+  for (const config::Team &Team : Document.Teams) {
+    Present.insert(Team.Name);
+    schedule::TeamSettings Settings;
+    Settings.Weight = static_cast<double>(Team.Share);
+    Settings.Limit = Team.Limit;
+    Settings.LimitTasks = Team.Limit.Slots;
+    // Equal parts of the limit, so that the sum over all shards is at most the
+    // limit without any message between them.
+    for (int64_t Resources::*Field : ResourceFields)
+      Settings.Allowance.*Field = Team.Limit.*Field / Divisor;
+    Settings.RunningTasks = Settings.Allowance.Slots;
+    Queue.setTeam(Team.Name, Settings);
+  }
+  static constexpr std::array<schedule::TaskClass, 4> Classes = {
+      schedule::TaskClass::Urgent, schedule::TaskClass::Service,
+      schedule::TaskClass::Call, schedule::TaskClass::Batch};
+  for (const config::Queue &Row : Document.Queues)
+    Queue.setQueue(Row.Name, Classes[static_cast<size_t>(Row.Class)]);
+}
+
+void ShardWorker::setWish(cluster::OwnershipWish Wish, TimePoint Now) {
+  Owner.setWish(Wish, Now);
+}
+
+void ShardWorker::tick(TimePoint Now) {
+  sendOwnership(Now);
+  bool Authority = Owner.hasAuthority(Now);
+  if (Authority != HadAuthority)
+    onAuthorityChange(Authority, Now);
+  refreshEndpoints(Now);
+  expireCalls(Now);
+  resolveUnknown(Now);
+  if (!Authority)
+    return;
+  endLostLeases(Now);
+  reload(Now);
+  reclaim(Now);
+  decide(Now);
+  Done.tick(Owner.epoch(), Now);
+  writeJobs(Now);
+  retireJobs(Now);
+}
+
+void ShardWorker::onAuthorityChange(bool Gained, TimePoint Now) {
+  HadAuthority = Gained;
+  ++Generation;
+  Loading = false;
+  Loaded = false;
+  LoadedAll = false;
+  record(Gained ? EventName::ShardAcquired : EventName::ShardLost,
+         {{"epoch", std::to_string(Owner.epoch().Counter)}});
+  if (Gained) {
+    NextLoad = Now;
+    return;
+  }
+  // The records of jobs are in the store; the next owner reads them.
+  for (const auto &Row : Jobs)
+    Queue.cancelJob(Row.first);
+  Jobs.clear();
+  Done.reset();
+  for (auto &Row : Cancels)
+    for (auto &Then : Row.second)
+      Then(false);
+  Cancels.clear();
+  for (const TaskId &Task : queuedCalls()) {
+    Queue.cancel(Task);
+    const OpenCall &Call = Calls.at(Task);
+    answerCall(Task, refuseCall(Call.Request, protocol::Refusal::Overloaded,
+                                "the shard has moved to another process",
+                                Duration(1000)));
+  }
+}
+
+void ShardWorker::refreshEndpoints(TimePoint Now) {
+  for (const auto &Row : Capacities) {
+    auto Vm = Vms.find(Row.first);
+    if (Vm == Vms.end())
+      continue;
+    schedule::EndpointInfo Info;
+    Info.Id = Row.first;
+    Info.DataCentre = Shard.DataCentre;
+    Info.Rack = Vm->second.Rack;
+    Info.Capacity = Row.second;
+    Info.Leaving = SaysLeaving[Row.first] ||
+                   Vm->second.State == protocol::VmState::Leaving;
+    Info.Usable =
+        Full.count(Row.first) == 0 && Owner.mayStartOn(Row.first, Now);
+    Queue.setEndpoint(Info);
+  }
+}
+
+void ShardWorker::sendOwnership(TimePoint Now) {
+  bool WasIdle = Owner.state(Now) == OwnershipState::Idle ||
+                 Owner.state(Now) == OwnershipState::Lost;
+  std::vector<OwnershipCommand> Due;
+  Owner.tick(Now, Due);
+  bool Begins = WasIdle && Owner.state(Now) == OwnershipState::Attaching;
+  if (Begins) {
+    std::vector<EndpointId> All;
+    for (const auto &Row : Vms)
+      All.push_back(Row.first);
+    FormerOwners.clear();
+    Guard.begin(All, {});
+  }
+  for (const OwnershipCommand &Command : Due)
+    sendOwnershipCommand(Command, Now);
+}
+
+void ShardWorker::sendOwnershipCommand(const OwnershipCommand &Command,
+                                       TimePoint Now) {
+  EndpointCommand Message;
+  if (Command.Action == OwnershipAction::Renew) {
+    protocol::RenewCommand Renew;
+    Renew.Owner = Command.Owner;
+    Renew.Lease = Command.Lease;
+    Renew.Tasks = Ledger.on(Command.Endpoint);
+    auto Pending = Acks.find(Command.Endpoint);
+    if (Pending != Acks.end())
+      Renew.Acknowledged = Pending->second;
+    Message = std::move(Renew);
+  } else {
+    Message = protocol::AttachCommand{Command.Owner};
+  }
+  Out.endpoint(Command.At, std::move(Message), Options.EndpointTimeout,
+               [this, Command, Now](const EndpointReply &Reply,
+                                    TimePoint Later) {
+                 onOwnershipReply(Command, Now, Reply, Later);
+               });
+}
+
+void ShardWorker::onOwnershipReply(const OwnershipCommand &Command,
+                                   TimePoint SentAt, const EndpointReply &Reply,
+                                   TimePoint Now) {
+  if (const auto *State = std::get_if<protocol::EndpointState>(&Reply)) {
+    Owner.onState(Command.Id, *State, Now);
+    if (Owner.isAttached(Command.Endpoint))
+      onState(Command.Endpoint, SentAt, *State, Now);
+    return;
+  }
+  if (const auto *Stale = std::get_if<protocol::StaleEpoch>(&Reply)) {
+    Owner.onStale(Command.Id, *Stale, Now);
+    if (Stale->Owner.Process != Options.Self) {
+      FormerOwners.insert(Stale->Owner.Process);
+      Guard.addFormerOwner(Stale->Owner.Process);
+    }
+    return;
+  }
+  protocol::Delivery How = protocol::Delivery::Lost;
+  if (const auto *Failed = std::get_if<CommandFailed>(&Reply))
+    How = Failed->State;
+  Owner.onNoAnswer(Command.Id, How, Now);
+}
+
+void ShardWorker::onState(const EndpointId &Endpoint, TimePoint SentAt,
+                          const protocol::EndpointState &State,
+                          TimePoint Now) {
+  Guard.onReached(Endpoint);
+  Capacities[Endpoint] = State.Capacity;
+  SaysLeaving[Endpoint] = State.Leaving;
+  Full.erase(Endpoint);
+  refreshEndpoints(Now);
+
+  std::set<TaskId> Listed;
+  for (const protocol::RunningTask &Task : State.Tasks) {
+    Listed.insert(Task.Id.Task);
+    adopt(Endpoint, Task, Now);
+    Queue.usage(Task.Id.Task, Task.Usage);
+  }
+  std::set<protocol::Attempt, bool (*)(const protocol::Attempt &,
+                                       const protocol::Attempt &)>
+      Reported([](const protocol::Attempt &A, const protocol::Attempt &B) {
+        return A.Task != B.Task ? A.Task < B.Task : A.Number < B.Number;
+      });
+  for (const protocol::FinishedTask &Task : State.Finished) {
+    Listed.insert(Task.Id.Task);
+    Reported.insert(Task.Id);
+    if (Ledger.find(Task.Id))
+      end(Task.Id, EndKind::Finished, Task.Ok, Task.Result, Now);
+    else if (auto Place = placeOf(Task.Id.Task))
+      endJobTask(Task.Id, *Place, Endpoint, EndKind::Finished, Task.Ok,
+                 Task.Result, Now);
+    else
+      Acks[Endpoint].push_back(Task.Id);
+  }
+  // What the endpoint no longer reports has been acknowledged.
+  std::vector<protocol::Attempt> &Pending = Acks[Endpoint];
+  Pending.erase(std::remove_if(Pending.begin(), Pending.end(),
+                               [&](const protocol::Attempt &Id) {
+                                 return Reported.count(Id) == 0;
+                               }),
+                Pending.end());
+  for (const TaskId &Task : Ledger.tasksOn(Endpoint)) {
+    const ActiveTask &Entry = *Ledger.find(Task);
+    bool WasRunning =
+        Entry.State == ActiveState::Running && Entry.ConfirmedAt <= SentAt;
+    if (WasRunning && Listed.count(Task) == 0)
+      end(Entry.Id, EndKind::Vanished, false, "ended without a result", Now);
+  }
+}
+
+void ShardWorker::adopt(const EndpointId &Endpoint,
+                        const protocol::RunningTask &Task, TimePoint Now) {
+  if (ActiveTask *Entry = Ledger.find(Task.Id)) {
+    if (Entry->State == ActiveState::Running)
+      return;
+    Entry->State = ActiveState::Running;
+    Entry->ConfirmedAt = Now;
+    Queue.started(Task.Id.Task, Now);
+    return;
+  }
+  ActiveTask Found;
+  Found.Id = Task.Id;
+  Found.Endpoint = Endpoint;
+  Found.State = ActiveState::Running;
+  Found.SentAt = Now;
+  Found.ConfirmedAt = Now;
+  Found.Place = placeOf(Task.Id.Task);
+  if (Ledger.find(Task.Id.Task)) {
+    // A second attempt of a task that is active elsewhere must not go on.
+    sendStop(Found, protocol::StopMode::Stop);
+    return;
+  }
+  schedule::AdoptedTask Adopted;
+  Adopted.Task = Task.Id.Task;
+  Adopted.Attempt = Task.Id.Number;
+  Adopted.Team = Task.Team;
+  Adopted.Endpoint = Endpoint;
+  Adopted.Size = Task.Reserved;
+  Adopted.Usage = Task.Usage;
+  if (Found.Place) {
+    Adopted.Job = Found.Place->Job;
+    auto Owned = Jobs.find(Found.Place->Job);
+    if (Owned != Jobs.end()) {
+      Adopted.Class = Owned->second.Spec.Kind == protocol::JobKind::Service
+                          ? schedule::TaskClass::Service
+                          : schedule::TaskClass::Batch;
+      if (Found.Place->Index < Owned->second.Tasks.size()) {
+        JobTask &Row = Owned->second.Tasks[Found.Place->Index];
+        Row.State = protocol::TaskState::Running;
+        Row.Outcome = Verdict::MayHaveRun;
+        Row.Endpoint = Endpoint;
+        Row.Attempt = Task.Id.Number;
+      }
+    }
+  }
+  Queue.adopt(Adopted, Now);
+  Ledger.insert(std::move(Found));
+}
+
+void ShardWorker::endLostLeases(TimePoint Now) {
+  for (const EndpointId &Endpoint : Owner.unreachable(Now)) {
+    auto EndBy = Owner.leasesEndBy(Endpoint);
+    if (!EndBy || *EndBy > Now)
+      continue;
+    for (const TaskId &Task : Ledger.tasksOn(Endpoint))
+      end(Ledger.find(Task)->Id, EndKind::Vanished, false, "the lease expired",
+          Now);
+  }
+}
+
+void ShardWorker::reclaim(TimePoint Now) {
+  for (const schedule::ReclaimStep &Step : Queue.reclaim(Now))
+    if (const ActiveTask *Entry = Ledger.find(Step.Task))
+      sendStop(*Entry, Step.Mode);
+}
+
+void ShardWorker::stopAll() {
+  for (const auto &Row : Vms)
+    for (const TaskId &Task : Ledger.tasksOn(Row.first)) {
+      ActiveTask &Entry = *Ledger.find(Task);
+      if (Entry.State == ActiveState::Running && !Entry.StopSent)
+        sendStop(Entry, protocol::StopMode::Stop);
+    }
+}
+
+void ShardWorker::release(TimePoint Now) { Owner.release(Now); }
+
+ShardStatus ShardWorker::status(TimePoint Now) const {
+  ShardStatus Value;
+  Value.Shard = Shard;
+  Value.State = Owner.state(Now);
+  Value.Owner = Owner.epoch();
+  Value.JobsLoaded = Loaded;
+  Value.Endpoints = Vms.size();
+  Value.Unreachable = Owner.unreachable(Now).size();
+  Value.Queued = static_cast<size_t>(Queue.queuedTasks());
+  Value.Active = Ledger.size();
+  Value.Jobs = Jobs.size();
+  Value.Free = room();
+  return Value;
+}
+
+void ShardWorker::record(
+    EventName Name, std::vector<std::pair<std::string, std::string>> Fields) {
+  Fields.emplace_back("shard", Shard.DataCentre.str() + '.' +
+                                   std::to_string(Shard.Number));
+  Out.emit(RecordEvent{Name, std::move(Fields)});
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -0,0 +1,436 @@
+#include "teaselwalk/engine/shard_worker.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/engine/record.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Jobs: their tasks, their records and their recovery from the store.
+namespace teaselwalk::engine {
+namespace {
+
+using protocol::JobKind;
+using protocol::JobState;
+using protocol::StoreReply;
+using protocol::StoreStatus;
+using protocol::TaskState;
+
+bool hasEnded(TaskState State) {
+  return State == TaskState::Finished || State == TaskState::Failed;
+}
+
+protocol::StoreRequest listOf(std::string Prefix) {
+  protocol::StoreRequest Request;
+  Request.Operation = protocol::StoreOperation::List;
+  Request.Key = std::move(Prefix);
+  return Request;
+}
+
+std::string clipped(const std::string &Text, size_t MaxBytes) {
+  return Text.size() <= MaxBytes ? Text : Text.substr(0, MaxBytes);
+}
+
+} // namespace
+
+schedule::WorkSpec ShardWorker::workSpec(const Job &Value) const {
+  schedule::WorkSpec Spec;
+  Spec.Job = Value.Id;
+  Spec.Team = Value.Team;
+  Spec.Queue = Value.Spec.Queue;
+  Spec.Size = Value.Spec.Size;
+  Spec.RunTime = Value.Spec.RunTime;
+  Spec.Urgent = Value.Spec.Urgent;
+  return Spec;
+}
+
+schedule::Admission
+ShardWorker::checkJob(const TeamId &Team, const protocol::JobSpec &Spec) const {
+  Job Probe;
+  Probe.Team = Team;
+  Probe.Spec = Spec;
+  return Queue.checkAdmission(workSpec(Probe), Spec.Tasks,
+                              Spec.Kind == JobKind::Gang);
+}
+
+void ShardWorker::addJob(Job Value, TimePoint Now) {
+  if (Jobs.count(Value.Id) != 0)
+    return;
+  JobId Id = Value.Id;
+  Job &Owned = Jobs.emplace(Id, std::move(Value)).first->second;
+  record(EventName::JobAccepted,
+         {{"job", Id.str()}, {"team", Owned.Team.str()}});
+  resumeJob(Owned, true, Now);
+  decide(Now);
+}
+
+const Job *ShardWorker::findJob(const JobId &Id) const {
+  auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+void ShardWorker::queueTasks(Job &Value, const std::vector<uint32_t> &Indices,
+                             TimePoint Now) {
+  if (Indices.empty())
+    return;
+  std::vector<TaskId> Tasks;
+  for (uint32_t Index : Indices) {
+    Value.Tasks[Index].State = TaskState::Queued;
+    Tasks.push_back(makeTaskId(Value.Id, Index));
+  }
+  schedule::WorkSpec Spec = workSpec(Value);
+  schedule::Admission Result;
+  if (Value.Spec.Kind == JobKind::Gang) {
+    Result = Queue.admitGang(Tasks, Spec, Now);
+  } else {
+    for (const TaskId &Task : Tasks)
+      if (Result)
+        Result = Queue.admit(Task, Spec, Now);
+  }
+  // The job is recorded, so it waits; `reload` tries again.
+  Value.Reason = Result.Message;
+}
+
+void ShardWorker::resumeJob(Job &Value, bool AllKnown, TimePoint Now) {
+  if (isEnded(Value.State))
+    return;
+  std::vector<uint32_t> Missing;
+  for (uint32_t Index = 0; Index < Value.Tasks.size(); ++Index) {
+    JobTask &Row = Value.Tasks[Index];
+    TaskId Task = makeTaskId(Value.Id, Index);
+    if (hasEnded(Row.State) || Queue.isQueued(Task))
+      continue;
+    if (ActiveTask *Entry = Ledger.find(Task)) {
+      Row.Endpoint = Entry->Endpoint;
+      Row.Attempt = Entry->Id.Number;
+      if (Entry->State == ActiveState::Running)
+        Row.State = TaskState::Running;
+      Value.State = JobState::Running;
+      continue;
+    }
+    if (AllKnown)
+      Missing.push_back(Index);
+    else
+      Row.State = TaskState::Unknown;
+  }
+  if (Value.Restarting)
+    return;
+  if (Value.Recovered && !Value.Spec.Idempotent) {
+    // A start is not recorded in the store, so a task that is found nowhere
+    // may have run on a VM that is gone.
+    for (uint32_t Index : Missing)
+      settleTask(Value, Index, false, Verdict::MayHaveRun,
+                 "lost in a takeover", {makeTaskId(Value.Id, Index), 0}, Now);
+    Missing.clear();
+  }
+  if (AllKnown)
+    Value.Recovered = false;
+  queueTasks(Value, Missing, Now);
+  checkEnd(Value, Now);
+}
+
+void ShardWorker::endJobTask(const protocol::Attempt &Id,
+                             const TaskPlace &Place, const EndpointId &Endpoint,
+                             EndKind Kind, bool Ok, const std::string &Result,
+                             TimePoint Now) {
+  auto Found = Jobs.find(Place.Job);
+  if (Found == Jobs.end() || Place.Index >= Found->second.Tasks.size()) {
+    // After the jobs were read, a result of an unknown job is not wanted.
+    if (Loaded && Kind == EndKind::Finished)
+      Acks[Endpoint].push_back(Id);
+    return;
+  }
+  Job &Value = Found->second;
+  JobTask &Row = Value.Tasks[Place.Index];
+  if (hasEnded(Row.State)) {
+    if (Kind == EndKind::Finished)
+      Acks[Endpoint].push_back(Id);
+    return;
+  }
+  Row.Endpoint = Endpoint;
+  bool IsService = Value.Spec.Kind == JobKind::Service;
+  bool Cancelled = Value.State == JobState::Cancelled;
+  if (Kind == EndKind::Finished && (Ok || Cancelled) && !IsService)
+    return settleTask(Value, Place.Index, Ok, Verdict::Ran, Result, Id, Now);
+  if (Cancelled)
+    return settleTask(Value, Place.Index, false,
+                      Kind == EndKind::NeverStarted ? Verdict::NotRun
+                                                    : Verdict::MayHaveRun,
+                      "cancelled", Id, Now);
+  if (Kind == EndKind::NeverStarted)
+    return requeueTask(Value, Place.Index, Now);
+  if (Kind == EndKind::Finished)
+    Acks[Endpoint].push_back(Id);
+  if (Kind != EndKind::Preempted)
+    ++Row.Failures;
+  bool MayRepeat = Value.Spec.Idempotent &&
+                   (IsService || Row.Failures < Options.MaxAttempts);
+  if (MayRepeat)
+    return requeueTask(Value, Place.Index, Now);
+  settleTask(Value, Place.Index, false,
+             Kind == EndKind::Finished ? Verdict::Ran : Verdict::MayHaveRun,
+             Result, Id, Now);
+}
+
+void ShardWorker::settleTask(Job &Value, uint32_t Index, bool Ok,
+                             Verdict Outcome, const std::string &Result,
+                             const protocol::Attempt &Id, TimePoint Now) {
+  JobTask &Row = Value.Tasks[Index];
+  Row.State = Ok ? TaskState::Finished : TaskState::Failed;
+  Row.Outcome = Outcome;
+  Row.Result = clipped(Result, Options.MaxResultBytes);
+  --Value.Unfinished;
+  Done.add({Value.Id, Index, Ok, Outcome, Row.Endpoint, Row.Result}, Id);
+  if (Value.Restarting)
+    restartGang(Value, Now);
+  checkEnd(Value, Now);
+}
+
+void ShardWorker::requeueTask(Job &Value, uint32_t Index, TimePoint Now) {
+  Value.Tasks[Index].State = TaskState::Queued;
+  if (Value.Spec.Kind != JobKind::Gang)
+    return queueTasks(Value, {Index}, Now);
+  // The tasks of a gang run together, so the others stop and all start again.
+  Value.Restarting = true;
+  restartGang(Value, Now);
+}
+
+void ShardWorker::restartGang(Job &Value, TimePoint Now) {
+  std::vector<TaskId> Active = Ledger.tasksOf(Value.Id);
+  for (const TaskId &Task : Active) {
+    const ActiveTask &Entry = *Ledger.find(Task);
+    if (!Entry.StopSent && Entry.State != ActiveState::Starting)
+      sendStop(Entry, protocol::StopMode::Stop);
+  }
+  if (!Active.empty())
+    return;
+  Value.Restarting = false;
+  std::vector<uint32_t> Unfinished;
+  for (uint32_t Index = 0; Index < Value.Tasks.size(); ++Index)
+    if (!hasEnded(Value.Tasks[Index].State))
+      Unfinished.push_back(Index);
+  queueTasks(Value, Unfinished, Now);
+}
+
+void ShardWorker::checkEnd(Job &Value, TimePoint Now) {
+  if (Value.Unfinished > 0 || (isEnded(Value.State) && !Value.Dirty))
+    return;
+  if (!isEnded(Value.State)) {
+    bool AnyFailed = std::any_of(
+        Value.Tasks.begin(), Value.Tasks.end(),
+        [](const JobTask &Row) { return Row.State == TaskState::Failed; });
+    Value.State = AnyFailed ? JobState::Failed : JobState::Finished;
+    Value.Dirty = true;
+    record(EventName::JobEnded,
+           {{"job", Value.Id.str()},
+            {"state",
+             std::string(nameOf(protocol::JobStateNames, Value.State))}});
+  }
+  Value.EndedAt = Now;
+}
+
+void ShardWorker::cancelLocally(Job &Value, TimePoint Now) {
+  Value.State = JobState::Cancelled;
+  Value.EndedAt = Now;
+  Value.Restarting = false;
+  Queue.cancelJob(Value.Id);
+  record(EventName::JobCancelled, {{"job", Value.Id.str()}});
+  for (uint32_t Index = 0; Index < Value.Tasks.size(); ++Index) {
+    JobTask &Row = Value.Tasks[Index];
+    if (hasEnded(Row.State))
+      continue;
+    const ActiveTask *Entry = Ledger.find(makeTaskId(Value.Id, Index));
+    if (Entry) {
+      if (Entry->State == ActiveState::Running && !Entry->StopSent)
+        sendStop(*Entry, protocol::StopMode::Stop);
+      continue;
+    }
+    Verdict Outcome =
+        Row.StartCount == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
+    Row.State = TaskState::Failed;
+    Row.Outcome = Outcome;
+    Row.Result = "cancelled";
+    --Value.Unfinished;
+  }
+}
+
+void ShardWorker::cancelJob(const JobId &Id, TimePoint Now,
+                            std::function<void(bool)> Then) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return Then(false);
+  Job &Value = Found->second;
+  if (isEnded(Value.State) && !Value.Dirty)
+    return Then(true);
+  if (!isEnded(Value.State)) {
+    cancelLocally(Value, Now);
+    Value.Dirty = true;
+    Value.NextWrite = Now;
+  }
+  Cancels[Id].push_back(std::move(Then));
+  writeJobs(Now);
+}
+
+void ShardWorker::writeJobs(TimePoint Now) {
+  for (auto &Row : Jobs) {
+    Job &Value = Row.second;
+    if (!Value.Dirty || Value.Writing || Now < Value.NextWrite)
+      continue;
+    Value.Writing = true;
+    Value.NextWrite = Now + Options.FlushInterval;
+    writeDurably(Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
+                 Options.StoreTimeout,
+                 [this, Id = Value.Id, Mine = Generation](
+                     const WriteResult &Result, TimePoint Later) {
+                   if (Mine == Generation)
+                     onJobWritten(Id, Result, Later);
+                 });
+  }
+}
+
+void ShardWorker::onJobWritten(const JobId &Id, const WriteResult &Result,
+                               TimePoint Now) {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return;
+  Job &Value = Found->second;
+  Value.Writing = false;
+  if (Result.Outcome == WriteOutcome::Conflict) {
+    // Another process has changed the record, for example to cancelled.
+    Value.Version = Result.Version;
+    Value.NextWrite = Now;
+    return;
+  }
+  if (Result.Outcome != WriteOutcome::Applied)
+    return;
+  Value.Version = Result.Version;
+  Value.Dirty = false;
+  auto Waiting = Cancels.find(Id);
+  if (Waiting == Cancels.end())
+    return;
+  std::vector<std::function<void(bool)>> Callbacks = std::move(Waiting->second);
+  Cancels.erase(Waiting);
+  for (auto &Then : Callbacks)
+    Then(true);
+}
+
+void ShardWorker::retireJobs(TimePoint Now) {
+  for (auto It = Jobs.begin(); It != Jobs.end();) {
+    const Job &Value = It->second;
+    bool Due = isEnded(Value.State) && !Value.Dirty && !Value.Writing &&
+               Value.Unfinished == 0 &&
+               Now - Value.EndedAt >= Options.JobRetention;
+    if (!Due) {
+      ++It;
+      continue;
+    }
+    protocol::StoreRequest Remove;
+    Remove.Operation = protocol::StoreOperation::Remove;
+    Remove.Key = jobKey(Value.Id);
+    Remove.Expected = Value.Version;
+    // If this is lost, the next reload finds the ended job again.
+    Out.store(std::move(Remove), Options.StoreTimeout,
+              [](const StoreReply &, TimePoint) {});
+    Done.retire(Value.Id);
+    It = Jobs.erase(It);
+  }
+}
+
+void ShardWorker::reload(TimePoint Now) {
+  bool AllKnown = Guard.allKnown(Now);
+  bool Due = Now >= NextLoad || (AllKnown && !LoadedAll);
+  if (Loading || !Due)
+    return;
+  Loading = true;
+  NextLoad = Now + Options.ReloadInterval;
+  Out.store(listOf(jobPrefix(Shard)), Options.StoreTimeout,
+            [this, AllKnown, Mine = Generation](const StoreReply &Reply,
+                                                TimePoint Later) {
+              if (Mine == Generation)
+                onJobsListed(Reply, AllKnown, Later);
+            });
+}
+
+void ShardWorker::onJobsListed(const StoreReply &Reply, bool AllKnown,
+                               TimePoint Now) {
+  if (Reply.Status != StoreStatus::Ok) {
+    Loading = false;
+    NextLoad = Now + Options.FlushInterval;
+    return;
+  }
+  Out.store(listOf(donePrefix(Shard)), Options.StoreTimeout,
+            [this, Reply, AllKnown, Mine = Generation](const StoreReply &DoneList,
+                                                       TimePoint Later) {
+              if (Mine != Generation)
+                return;
+              Loading = false;
+              onDoneListed(Reply, DoneList, AllKnown, Later);
+            });
+}
+
+void ShardWorker::onDoneListed(const StoreReply &JobList,
+                               const StoreReply &DoneList, bool AllKnown,
+                               TimePoint Now) {
+  if (DoneList.Status != StoreStatus::Ok) {
+    NextLoad = Now + Options.FlushInterval;
+    return;
+  }
+  for (const protocol::StoreEntry &Entry : JobList.Entries) {
+    Job Read = decodeJob(Entry.Value, Entry.Version);
+    auto Known = Jobs.find(Read.Id);
+    if (Known == Jobs.end()) {
+      JobId Id = Read.Id;
+      Read.EndedAt = Now;
+      // Later records were made while this process was the owner.
+      Read.Recovered = !LoadedAll;
+      Jobs.emplace(Id, std::move(Read));
+    } else if (Read.State == JobState::Cancelled &&
+               !isEnded(Known->second.State)) {
+      Known->second.Version = Entry.Version;
+      cancelLocally(Known->second, Now);
+    }
+  }
+  applyDone(DoneList);
+  Loaded = true;
+  LoadedAll = LoadedAll || AllKnown;
+  for (auto &Row : Jobs) {
+    // A job that was read as cancelled still has tasks to stop.
+    if (Row.second.State == JobState::Cancelled && Row.second.Unfinished > 0)
+      cancelLocally(Row.second, Now);
+    resumeJob(Row.second, AllKnown, Now);
+  }
+  stopOrphans();
+}
+
+void ShardWorker::applyDone(const StoreReply &DoneList) {
+  for (const protocol::StoreEntry &Entry : DoneList.Entries) {
+    std::vector<DoneTask> Batch = decodeDone(Entry.Value);
+    Done.onLoaded(Entry.Key, Entry.Version, Batch);
+    for (const DoneTask &Item : Batch) {
+      auto Found = Jobs.find(Item.Job);
+      if (Found == Jobs.end() || Item.Index >= Found->second.Tasks.size())
+        continue;
+      JobTask &Row = Found->second.Tasks[Item.Index];
+      if (hasEnded(Row.State))
+        continue;
+      Row.State = Item.Ok ? TaskState::Finished : TaskState::Failed;
+      Row.Outcome = Item.Outcome;
+      Row.Endpoint = Item.Endpoint;
+      Row.Result = Item.Result;
+      --Found->second.Unfinished;
+    }
+  }
+}
+
+void ShardWorker::stopOrphans() {
+  for (const auto &Row : Vms)
+    for (const TaskId &Task : Ledger.tasksOn(Row.first)) {
+      const ActiveTask &Entry = *Ledger.find(Task);
+      bool Wanted = !Entry.Place || (Jobs.count(Entry.Place->Job) != 0 &&
+                                     !isEnded(Jobs.at(Entry.Place->Job).State));
+      if (!Wanted && Entry.State == ActiveState::Running && !Entry.StopSent)
+        sendStop(Entry, protocol::StopMode::Stop);
+    }
+}
+
+} // namespace teaselwalk::engine
--- /dev/null
+++ b/src/teaselwalk/engine/shard_worker_run.cpp
@@ -0,0 +1,345 @@
+#include "teaselwalk/engine/shard_worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Starting, stopping and ending attempts; quick calls.
+namespace teaselwalk::engine {
+namespace {
+
+/// Attempt numbers of one ownership; the rest of the number is the epoch's
+/// counter, so that two owners never use the same number for a task.
+constexpr uint32_t AttemptsPerEpoch = 1U << 12U;
+
+/// Rounds of one decision, so that a tick takes bounded time.
+constexpr int MaxRounds = 8;
+
+uint32_t attemptNumber(const Epoch &Owner, uint32_t Count) {
+  return static_cast<uint32_t>(Owner.Counter) * AttemptsPerEpoch +
+         Count % AttemptsPerEpoch;
+}
+
+} // namespace
+
+void ShardWorker::decide(TimePoint Now) {
+  if (!StartsAllowed)
+    return;
+  std::vector<schedule::Placement> Places;
+  bool More = true;
+  for (int Round = 0; More && Round < MaxRounds; ++Round) {
+    Places.clear();
+    More = Queue.decide(Now, Places);
+    for (const schedule::Placement &Place : Places)
+      start(Place, Now);
+  }
+}
+
+bool ShardWorker::fillCommand(const TaskId &Task,
+                              protocol::RunCommand &Command, TimePoint Now) {
+  auto Call = Calls.find(Task);
+  if (Call != Calls.end()) {
+    OpenCall &Value = Call->second;
+    Command.Id = {Task, attemptNumber(Owner.epoch(), ++Value.Attempts)};
+    Command.Team = Value.Team;
+    Command.Size = Value.Request.Size;
+    Command.Payload = Value.Request.Payload;
+    Command.Wait = true;
+    Command.Lease = std::max(Value.DeadlineAt - Now, Duration(1));
+    return Value.DeadlineAt > Now;
+  }
+  auto Place = placeOf(Task);
+  auto Owned = Place ? Jobs.find(Place->Job) : Jobs.end();
+  if (Owned == Jobs.end() || isEnded(Owned->second.State))
+    return false;
+  Job &Value = Owned->second;
+  JobTask &Row = Value.Tasks.at(Place->Index);
+  ++Row.StartCount;
+  Command.Id = {Task, attemptNumber(Owner.epoch(), Row.StartCount)};
+  Command.Team = Value.Team;
+  Command.Size = Value.Spec.Size;
+  Command.RunTime = Value.Spec.RunTime;
+  Command.Payload = Value.Spec.Payload;
+  Command.Lease = Options.Ownership.TaskLease;
+  return true;
+}
+
+void ShardWorker::start(const schedule::Placement &Place, TimePoint Now) {
+  protocol::RunCommand Command;
+  Command.Owner = Owner.epoch();
+  bool Wanted = fillCommand(Place.Task, Command, Now);
+  auto Vm = Vms.find(Place.Endpoint);
+  ActiveTask Entry;
+  Entry.Id = Command.Id;
+  Entry.Id.Task = Place.Task;
+  Entry.Endpoint = Place.Endpoint;
+  Entry.SentAt = Now;
+  Entry.Place = placeOf(Place.Task);
+  Ledger.insert(Entry);
+  if (!Wanted || Vm == Vms.end() || !Owner.mayStartOn(Place.Endpoint, Now))
+    return end(Entry.Id, EndKind::NeverStarted, false, "not started", Now);
+
+  if (Entry.Place) {
+    Job &Value = Jobs.at(Entry.Place->Job);
+    JobTask &Row = Value.Tasks.at(Entry.Place->Index);
+    Row.State = protocol::TaskState::Starting;
+    Row.Outcome = Verdict::MayHaveRun;
+    Row.Endpoint = Place.Endpoint;
+    Row.Attempt = Command.Id.Number;
+    Value.State = protocol::JobState::Running;
+  }
+  Duration Timeout =
+      Command.Wait ? Command.Lease : Options.EndpointTimeout;
+  Owner.onRunSent(Place.Endpoint, Now);
+  record(EventName::TaskStarting,
+         {{"task", Place.Task.str()},
+          {"attempt", std::to_string(Command.Id.Number)},
+          {"endpoint", Place.Endpoint.str()},
+          {"team", Command.Team.str()}});
+  Out.endpoint(Vm->second.At, std::move(Command), Timeout,
+               [this, Id = Entry.Id](const EndpointReply &Reply,
+                                     TimePoint Later) {
+                 onRunReply(Id, Reply, Later);
+               });
+}
+
+void ShardWorker::onRunReply(const protocol::Attempt &Id,
+                             const EndpointReply &Reply, TimePoint Now) {
+  ActiveTask *Entry = Ledger.find(Id);
+  if (!Entry)
+    return;
+  EndpointId Endpoint = Entry->Endpoint;
+  if (std::holds_alternative<RunStarted>(Reply)) {
+    if (Entry->State == ActiveState::Running)
+      return;
+    Entry->State = ActiveState::Running;
+    Entry->ConfirmedAt = Now;
+    Queue.started(Id.Task, Now);
+    if (Entry->Place && Jobs.count(Entry->Place->Job) != 0)
+      Jobs.at(Entry->Place->Job).Tasks.at(Entry->Place->Index).State =
+          protocol::TaskState::Running;
+    record(EventName::TaskStarted,
+           {{"task", Id.Task.str()}, {"endpoint", Endpoint.str()}});
+    return;
+  }
+  if (const auto *Result = std::get_if<protocol::RunResult>(&Reply)) {
+    Acks[Endpoint].push_back(Id);
+    return end(Id, EndKind::Finished, Result->Ok, Result->Result, Now);
+  }
+  if (std::holds_alternative<NoRoom>(Reply)) {
+    Full.insert(Endpoint);
+    refreshEndpoints(Now);
+    return end(Id, EndKind::NeverStarted, false, "no room", Now);
+  }
+  if (const auto *Stale = std::get_if<protocol::StaleEpoch>(&Reply)) {
+    Owner.onRunRefused(Endpoint, *Stale, Now);
+    refreshEndpoints(Now);
+    return end(Id, EndKind::NeverStarted, false, "stale epoch", Now);
+  }
+  const auto *Failed = std::get_if<CommandFailed>(&Reply);
+  if (Failed && Failed->Outcome == Verdict::NotRun) {
+    Full.insert(Endpoint);
+    refreshEndpoints(Now);
+    return end(Id, EndKind::NeverStarted, false, "not delivered", Now);
+  }
+  Entry->State = ActiveState::Unknown;
+  if (Entry->Place && Jobs.count(Entry->Place->Job) != 0)
+    Jobs.at(Entry->Place->Job).Tasks.at(Entry->Place->Index).State =
+        protocol::TaskState::Unknown;
+  record(EventName::TaskUnknown,
+         {{"task", Id.Task.str()}, {"endpoint", Endpoint.str()}});
+  Unresolved.insert(Id.Task);
+  answerLateCall(Id, Endpoint, Now);
+  sendStop(*Entry, protocol::StopMode::Stop);
+}
+
+void ShardWorker::answerLateCall(const protocol::Attempt &Id,
+                                 const EndpointId &Endpoint, TimePoint Now) {
+  auto Found = Calls.find(Id.Task);
+  if (Found == Calls.end() || Now < Found->second.DeadlineAt)
+    return;
+  protocol::CallAnswer Answer;
+  Answer.Request = Found->second.Request.Request;
+  Answer.Outcome = Verdict::MayHaveRun;
+  Answer.Reason = protocol::Refusal::DeadlinePassed;
+  Answer.Message = "the endpoint gave no answer before the deadline";
+  Answer.Endpoint = Endpoint;
+  answerCall(Id.Task, std::move(Answer));
+}
+
+void ShardWorker::resolveUnknown(TimePoint Now) {
+  for (auto It = Unresolved.begin(); It != Unresolved.end();) {
+    ActiveTask *Entry = Ledger.find(*It);
+    if (!Entry || Entry->State != ActiveState::Unknown) {
+      It = Unresolved.erase(It);
+      continue;
+    }
+    answerLateCall(Entry->Id, Entry->Endpoint, Now);
+    if (!Entry->StopSent)
+      sendStop(*Entry, protocol::StopMode::Stop);
+    ++It;
+  }
+}
+
+void ShardWorker::sendStop(const ActiveTask &Task, protocol::StopMode Mode) {
+  auto Vm = Vms.find(Task.Endpoint);
+  if (Vm == Vms.end() || !Owner.isAttached(Task.Endpoint))
+    return;
+  if (ActiveTask *Entry = Ledger.find(Task.Id))
+    Entry->StopSent = true;
+  record(EventName::TaskStopped,
+         {{"task", Task.Id.Task.str()},
+          {"endpoint", Task.Endpoint.str()},
+          {"mode", std::string(nameOf(protocol::StopModeNames, Mode))}});
+  protocol::StopCommand Command{Owner.epoch(), Task.Id, Mode};
+  Out.endpoint(Vm->second.At, std::move(Command), Options.EndpointTimeout,
+               [this, Id = Task.Id](const EndpointReply &Reply,
+                                    TimePoint Later) {
+                 onStopReply(Id, Reply, Later);
+               });
+}
+
+void ShardWorker::onStopReply(const protocol::Attempt &Id,
+                              const EndpointReply &Reply, TimePoint Now) {
+  ActiveTask *Entry = Ledger.find(Id);
+  if (!Entry)
+    return;
+  Entry->StopSent = false;
+  const auto *Result = std::get_if<protocol::StopResult>(&Reply);
+  if (!Result)
+    return; // `resolveUnknown` asks again while the state is Unknown.
+  if (Result->State == protocol::StopState::NeverStarted)
+    return end(Id, EndKind::NeverStarted, false, "never started", Now);
+  if (Result->State == protocol::StopState::Stopped)
+    return end(Id,
+               Entry->State == ActiveState::Unknown ? EndKind::Vanished
+                                                    : EndKind::Preempted,
+               false, "stopped", Now);
+}
+
+void ShardWorker::end(const protocol::Attempt &Id, EndKind Kind, bool Ok,
+                      const std::string &Result, TimePoint Now) {
+  ActiveTask *Entry = Ledger.find(Id);
+  if (!Entry)
+    return;
+  ActiveTask Ended = *Entry;
+  Ledger.erase(Id.Task);
+  Queue.ended(Id.Task);
+  if (Kind != EndKind::NeverStarted)
+    record(EventName::TaskEnded, {{"task", Id.Task.str()},
+                                  {"endpoint", Ended.Endpoint.str()},
+                                  {"ok", Ok ? "true" : "false"}});
+  if (Ended.Place)
+    endJobTask(Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
+  else
+    endCall(Id, Ended.Endpoint, Kind, Ok, Result, Now);
+}
+
+void ShardWorker::endCall(const protocol::Attempt &Id,
+                          const EndpointId &Endpoint, EndKind Kind, bool Ok,
+                          const std::string &Result, TimePoint Now) {
+  auto Found = Calls.find(Id.Task);
+  if (Found == Calls.end())
+    return;
+  const OpenCall &Call = Found->second;
+  if (Kind == EndKind::NeverStarted)
+    return requeueCall(Id.Task, Now);
+  protocol::CallAnswer Answer;
+  Answer.Request = Call.Request.Request;
+  Answer.Endpoint = Endpoint;
+  if (Kind == EndKind::Finished) {
+    Answer.Outcome = Verdict::Ran;
+    Answer.Result = Result;
+    if (!Ok) {
+      Answer.Reason = protocol::Refusal::EndpointFailed;
+      Answer.Message = "the task failed on the endpoint";
+    }
+    return answerCall(Id.Task, std::move(Answer));
+  }
+  // The attempt has ended, so an idempotent call may run again.
+  if (Call.Request.Idempotent && Now < Call.DeadlineAt)
+    return requeueCall(Id.Task, Now);
+  Answer.Outcome = Verdict::MayHaveRun;
+  Answer.Reason = protocol::Refusal::EndpointFailed;
+  Answer.Message = "the endpoint gave no result: " + Result;
+  answerCall(Id.Task, std::move(Answer));
+}
+
+void ShardWorker::requeueCall(const TaskId &Task, TimePoint Now) {
+  OpenCall &Call = Calls.at(Task);
+  if (Now >= Call.DeadlineAt)
+    return answerCall(
+        Task, refuseCall(Call.Request, protocol::Refusal::DeadlinePassed,
+                         "no endpoint took the call before its deadline"));
+  if (Call.Attempts >= Options.MaxAttempts || !Owner.hasAuthority(Now))
+    return answerCall(Task,
+                      refuseCall(Call.Request, protocol::Refusal::Overloaded,
+                                 "no endpoint took the call", Duration(1000)));
+  schedule::WorkSpec Spec;
+  Spec.Team = Call.Team;
+  Spec.Queue = Call.Request.Queue;
+  Spec.Size = Call.Request.Size;
+  Spec.Deadline = Call.DeadlineAt;
+  schedule::Admission Result = Queue.admit(Task, Spec, Now);
+  if (!Result)
+    answerCall(Task, refuseCall(Call.Request, Result.Reason, Result.Message,
+                                Result.RetryAfter));
+}
+
+schedule::Admission ShardWorker::admitCall(OpenCall &Call, TimePoint Now) {
+  TaskId Task =
+      makeCallTaskId(Call.Request.Request, Options.Self, ++CallSequence);
+  schedule::WorkSpec Spec;
+  Spec.Team = Call.Team;
+  Spec.Queue = Call.Request.Queue;
+  Spec.Size = Call.Request.Size;
+  Spec.Deadline = Call.DeadlineAt;
+  schedule::Admission Result = Queue.admit(Task, Spec, Now);
+  if (!Result)
+    return Result;
+  Calls.emplace(Task, std::move(Call));
+  decide(Now);
+  return Result;
+}
+
+std::optional<OpenCall> ShardWorker::withdrawCall(const TaskId &Task) {
+  auto Found = Calls.find(Task);
+  if (Found == Calls.end() || !Queue.isQueued(Task))
+    return std::nullopt;
+  Queue.cancel(Task);
+  OpenCall Call = std::move(Found->second);
+  Calls.erase(Found);
+  return Call;
+}
+
+std::vector<TaskId> ShardWorker::queuedCalls() const {
+  std::vector<TaskId> Tasks;
+  for (const auto &Row : Calls)
+    if (Queue.isQueued(Row.first))
+      Tasks.push_back(Row.first);
+  return Tasks;
+}
+
+const OpenCall *ShardWorker::findCall(const TaskId &Task) const {
+  auto Found = Calls.find(Task);
+  return Found == Calls.end() ? nullptr : &Found->second;
+}
+
+void ShardWorker::answerCall(const TaskId &Task, protocol::CallAnswer Answer) {
+  auto Found = Calls.find(Task);
+  OpenCall Call = std::move(Found->second);
+  Calls.erase(Found);
+  Call.Answer(Answer);
+}
+
+void ShardWorker::expireCalls(TimePoint Now) {
+  for (const TaskId &Task : Queue.expire(Now)) {
+    auto Found = Calls.find(Task);
+    if (Found == Calls.end())
+      continue;
+    answerCall(Task, refuseCall(Found->second.Request,
+                                protocol::Refusal::DeadlinePassed,
+                                "no room before the deadline"));
+  }
+}
+
+} // namespace teaselwalk::engine
--- a/src/teaselwalk/protocol/caller.cpp
+++ b/src/teaselwalk/protocol/caller.cpp
@@ -126,7 +126,8 @@
                      {"state", nameOf(TaskStateNames, Task.State)},
                      {"verdict", toString(Task.Outcome)},
                      {"endpoint", Task.Endpoint.str()},
-                     {"attempt", Task.Attempt}});
+                     {"attempt", Task.Attempt},
+                     {"result", Task.Result}});
   Json = {{"job", Value.Job.str()},
           {"state", nameOf(JobStateNames, Value.State)},
           {"tasks", std::move(Tasks)}};
--- a/src/teaselwalk/protocol/endpoint.cpp
+++ b/src/teaselwalk/protocol/endpoint.cpp
@@ -109,20 +109,31 @@
 }
 
 void to_json(nlohmann::json &Json, const StopCommand &Value) {
-  Json = {{"epoch", Value.Owner},
-          {"task", Value.Task.str()},
-          {"mode", nameOf(StopModeNames, Value.Mode)}};
+  Json = attemptJson(Value.Id);
+  Json["epoch"] = Value.Owner;
+  Json["mode"] = nameOf(StopModeNames, Value.Mode);
 }
 
 void from_json(const nlohmann::json &Json, StopCommand &Value) {
   Json.at("epoch").get_to(Value.Owner);
-  Value.Task = TaskId(Json.at("task").get<std::string>());
+  Value.Id = attemptFrom(Json);
   auto Mode = valueOf(StopModeNames, Json.at("mode").get<std::string>());
   if (!Mode)
     throw InvalidInput("mode", "must be checkpoint, throttle or stop");
   Value.Mode = *Mode;
 }
 
+void to_json(nlohmann::json &Json, const StopResult &Value) {
+  Json = {{"state", nameOf(StopStateNames, Value.State)}};
+}
+
+void from_json(const nlohmann::json &Json, StopResult &Value) {
+  auto State = valueOf(StopStateNames, Json.at("state").get<std::string>());
+  if (!State)
+    throw InvalidInput("state", "is not a known state of a stopped task");
+  Value.State = *State;
+}
+
 void to_json(nlohmann::json &Json, const EndpointState &Value) {
   nlohmann::json Tasks = nlohmann::json::array();
   for (const RunningTask &Task : Value.Tasks) {
