--- /dev/null
+++ b/include/teaselwalk/runtime/duty.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// Threads of the process. Each duty is a CAF `detached` actor.
+namespace teaselwalk::runtime {
+
+/// What a duty does. `Run` works until `Stop` was called; `Stop` is called
+/// once, from another thread, possibly before `Run` starts.
+struct DutyBody {
+  std::function<void()> Run;
+  std::function<void()> Stop;
+};
+
+/// All duties of a process, and the one CAF actor system that runs them.
+/// Not thread-safe: start and stop duties from one thread.
+///
+/// ```cpp
+/// Duties Threads;
+/// Threads.start("callers", {[&] { Server.run(); }, [&] { Server.stop(); }});
+/// Threads.stopAll();
+/// ```
+class Duties {
+public:
+  Duties();
+
+  /// Stops and joins the duties that still run.
+  ~Duties();
+  Duties(const Duties &) = delete;
+  Duties &operator=(const Duties &) = delete;
+
+  /// Starts a thread called \p Name, of which the system shows 15 characters.
+  /// An exception that leaves `Run` ends the duty and is kept for `failure()`.
+  void start(const std::string &Name, DutyBody Body);
+
+  /// Stops the duties in reverse order of their start, and joins each before
+  /// the next is stopped.
+  void stopAll();
+
+  /// Stops and joins the duty started last under \p Name, if one runs.
+  void stop(const std::string &Name);
+
+  /// Name and error of the first duty that ended by an exception, or "".
+  std::string failure() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace teaselwalk::runtime
