--- /dev/null
+++ b/src/teaselwalk/endpoints/answer_json.cpp
@@ -0,0 +1,98 @@
+#include "answer_json.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselwalk::endpoints {
+namespace {
+
+using nlohmann::json;
+
+bool isCount(const json &Value, uint64_t Max) {
+  return Value.is_number_unsigned() && Value.get<uint64_t>() <= Max;
+}
+
+bool hasCount(const json &Object, const char *Name, uint64_t Max) {
+  auto Found = Object.find(Name);
+  return Found != Object.end() && isCount(*Found, Max);
+}
+
+bool hasEpoch(const json &Object) {
+  auto Found = Object.is_object() ? Object.find("epoch") : Object.end();
+  return Object.is_object() && Found != Object.end() && Found->is_object() &&
+         hasCount(*Found, "counter", UINT64_MAX);
+}
+
+/// The codec would convert fractions, truth values and negative numbers
+/// silently, so amounts are checked before it runs.
+bool isAmount(const json &Value) {
+  if (!Value.is_object())
+    return false;
+  for (const json &Part : Value)
+    if (!isCount(Part, INT64_MAX))
+      return false;
+  return true;
+}
+
+bool hasAttempt(const json &Row) {
+  return Row.is_object() && hasCount(Row, "attempt", UINT32_MAX) &&
+         Row["attempt"].get<uint32_t>() > 0;
+}
+
+bool isRunningRow(const json &Row) {
+  return hasAttempt(Row) && Row.contains("resources") &&
+         isAmount(Row["resources"]) &&
+         (!Row.contains("usage") || isAmount(Row["usage"]));
+}
+
+bool isRowArray(const json &Object, const char *Name,
+                bool (*IsRow)(const json &)) {
+  auto Found = Object.find(Name);
+  if (Found == Object.end() || !Found->is_array())
+    return false;
+  for (const json &Row : *Found)
+    if (!IsRow(Row))
+      return false;
+  return true;
+}
+
+bool isState(const json &Json) {
+  return hasEpoch(Json) && Json.contains("capacity") &&
+         isAmount(Json["capacity"]) &&
+         isRowArray(Json, "tasks", isRunningRow) &&
+         isRowArray(Json, "finished", hasAttempt);
+}
+
+bool isObject(const json &Json) { return Json.is_object(); }
+
+template <typename Message>
+std::optional<Message> parse(const std::string &Body,
+                             bool (*IsValid)(const json &)) {
+  json Json = json::parse(Body, nullptr, false);
+  if (Json.is_discarded() || !IsValid(Json))
+    return std::nullopt;
+  try {
+    return Json.get<Message>();
+  } catch (const json::exception &) {
+    return std::nullopt;
+  } catch (const InvalidInput &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::optional<protocol::EndpointState> parseState(const std::string &Body) {
+  return parse<protocol::EndpointState>(Body, isState);
+}
+
+std::optional<protocol::RunResult> parseResult(const std::string &Body) {
+  return parse<protocol::RunResult>(Body, isObject);
+}
+
+std::optional<protocol::StaleEpoch> parseStaleEpoch(const std::string &Body) {
+  return parse<protocol::StaleEpoch>(Body, hasEpoch);
+}
+
+} // namespace teaselwalk::endpoints
--- /dev/null
+++ b/src/teaselwalk/endpoints/answer_json.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "teaselwalk/protocol/endpoint.hpp"
+
+#include <optional>
+#include <string>
+
+/// Strict parsing of endpoints' answers: nothing if a field is absent, of
+/// another kind or out of range.
+namespace teaselwalk::endpoints {
+
+std::optional<protocol::EndpointState> parseState(const std::string &Body);
+std::optional<protocol::RunResult> parseResult(const std::string &Body);
+std::optional<protocol::StaleEpoch> parseStaleEpoch(const std::string &Body);
+
+} // namespace teaselwalk::endpoints
