--- /dev/null
+++ b/src/teaselwalk/cluster/ownership_test.cpp
@@ -0,0 +1,189 @@
+#include "teaselwalk/cluster/shard_ownership.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace teaselwalk;
+using namespace teaselwalk::cluster;
+
+namespace {
+
+const ShardId Shard{DataCentreId("brno-a"), 0};
+
+std::vector<ShardEndpoint> endpoints(int Count) {
+  std::vector<ShardEndpoint> List;
+  for (int I = 0; I < Count; ++I)
+    List.push_back({EndpointId("e" + std::to_string(I)),
+                    {"10.0.0." + std::to_string(I), 80}});
+  return List;
+}
+
+/// One owner whose commands are answered at once, or not at all by the
+/// endpoints in `Silent`.
+struct Fixture {
+  ShardOwnership Owner{Shard, ProcessId("p"), 1};
+  std::set<EndpointId> Silent;
+  std::vector<OwnershipCommand> Sent;
+  int64_t Ms = 0;
+
+  explicit Fixture(int Count) {
+    Owner.setEndpoints(endpoints(Count), timeAt(0));
+    Owner.setWish({true, false}, timeAt(0));
+  }
+  TimePoint now() const { return timeAt(Ms); }
+  void run(int64_t For) {
+    for (int64_t End = Ms + For; Ms < End; Ms += 100) {
+      std::vector<OwnershipCommand> Out;
+      Owner.tick(now(), Out);
+      for (const OwnershipCommand &Command : Out) {
+        Sent.push_back(Command);
+        if (Silent.count(Command.Endpoint) != 0)
+          Owner.onNoAnswer(Command.Id, protocol::Delivery::Lost, now());
+        else
+          Owner.onState(Command.Id, {Command.Owner}, now());
+      }
+    }
+  }
+};
+
+// Guards against starting tasks while the former owner may still have
+// authority: 5,000 ms plus 2% after two thirds of the endpoints were attached.
+TEST(ShardOwnership, WaitsForTheFormerOwner) {
+  Fixture F(3);
+  F.run(100);
+  EXPECT_EQ(F.Owner.state(F.now()), OwnershipState::Waiting);
+  F.run(4900);
+  EXPECT_FALSE(F.Owner.hasAuthority(timeAt(5100)));
+  F.run(300);
+  EXPECT_EQ(F.Owner.state(F.now()), OwnershipState::Holding);
+  EXPECT_TRUE(F.Owner.mayStartOn(EndpointId("e0"), F.now()));
+}
+
+// Guards against a process that wakes up after a pause and goes on acting.
+TEST(ShardOwnership, PausedOwnerHasNoAuthority) {
+  Fixture F(3);
+  F.run(8000);
+  ASSERT_TRUE(F.Owner.hasAuthority(F.now()));
+  EXPECT_FALSE(F.Owner.hasAuthority(F.now() + Duration(60000)));
+  F.Ms += 60000;
+  F.run(1000);
+  EXPECT_FALSE(F.Owner.hasAuthority(F.now()));
+  F.run(6000);
+  EXPECT_TRUE(F.Owner.hasAuthority(F.now()));
+}
+
+// Guards against counting an endpoint from the time of its answer: the answer
+// may be old, and a new owner counts from when the endpoint took its epoch.
+TEST(ShardOwnership, AuthorityCountsFromBeforeTheSend) {
+  ShardOwnership Owner(Shard, ProcessId("p"), 1);
+  Owner.setEndpoints(endpoints(1), timeAt(0));
+  Owner.setWish({true, false}, timeAt(0));
+  std::vector<OwnershipCommand> Out;
+  for (int64_t Ms = 0; Ms <= 6000; Ms += 100) {
+    Out.clear();
+    Owner.tick(timeAt(Ms), Out);
+    for (const OwnershipCommand &Command : Out)
+      Owner.onState(Command.Id, {Command.Owner}, timeAt(Ms));
+  }
+  Out.clear();
+  Owner.tick(timeAt(7000), Out);
+  ASSERT_EQ(Out.size(), 1u);
+  Owner.onState(Out[0].Id, {Out[0].Owner}, timeAt(9000));
+  EXPECT_EQ(Owner.authorityEnd(timeAt(9000)), timeAt(12000));
+}
+
+// Guards against renewals that keep tasks on a lost endpoint alive for ever,
+// and against restarting them before the lease has certainly ended.
+TEST(ShardOwnership, StopsRenewingASilentEndpoint) {
+  Fixture F(4);
+  F.run(8000);
+  EndpointId Lost("e1");
+  F.Silent.insert(Lost);
+  F.run(15000);
+  EXPECT_EQ(F.Owner.unreachable(F.now()), std::vector<EndpointId>{Lost});
+  EXPECT_TRUE(F.Owner.hasAuthority(F.now()));
+  EXPECT_FALSE(F.Owner.mayStartOn(Lost, F.now()));
+  TimePoint End = *F.Owner.leasesEndBy(Lost);
+  F.Sent.clear();
+  F.run(10000);
+  EXPECT_EQ(*F.Owner.leasesEndBy(Lost), End);
+  size_t Probes = 0;
+  for (const OwnershipCommand &Command : F.Sent)
+    if (Command.Endpoint == Lost) {
+      EXPECT_EQ(Command.Action, OwnershipAction::Probe);
+      ++Probes;
+    }
+  EXPECT_EQ(Probes, 5u);
+  EXPECT_GE(End, timeAt(17000) + withDrift(Duration(30000)));
+  F.Silent.clear();
+  F.run(3000);
+  EXPECT_TRUE(F.Owner.mayStartOn(Lost, F.now()));
+}
+
+// Guards against two processes that take the shard from each other at once.
+TEST(ShardOwnership, RefusalGivesUpWithGrowingDelay) {
+  Fixture F(3);
+  F.run(8000);
+  std::vector<int64_t> Delays;
+  for (int Round = 0; Round < 3; ++Round) {
+    Epoch Mine = F.Owner.epoch();
+    Epoch Other{Mine.Counter + 1, ProcessId("q")};
+    F.Owner.onRunRefused(EndpointId("e0"), {Other}, F.now());
+    EXPECT_EQ(F.Owner.state(F.now()), OwnershipState::Lost);
+    EXPECT_FALSE(F.Owner.hasAuthority(F.now()));
+    int64_t Start = F.Ms;
+    while (F.Owner.state(F.now()) == OwnershipState::Lost)
+      F.run(100);
+    Delays.push_back(F.Ms - Start);
+    EXPECT_EQ(F.Owner.epoch().Counter, Other.Counter + 1);
+  }
+  EXPECT_LE(Delays[0], 400);
+  EXPECT_GE(Delays[1], 2000);
+  EXPECT_GE(Delays[2], 4000);
+  EXPECT_EQ(F.Owner.refusers().count(ProcessId("q")), 1u);
+}
+
+// Guards against a hand-over that cuts off running tasks: the former owner
+// renews until the next one has attached.
+TEST(ShardOwnership, ReleaseKeepsRenewing) {
+  Fixture F(3);
+  F.run(8000);
+  F.Owner.release(F.now());
+  EXPECT_FALSE(F.Owner.hasAuthority(F.now()));
+  F.Sent.clear();
+  F.run(3000);
+  EXPECT_EQ(F.Sent.size(), 9u);
+  EXPECT_FALSE(F.Owner.released());
+  for (const ShardEndpoint &Item : endpoints(3))
+    F.Owner.onRunRefused(Item.Id, {{9, ProcessId("q")}}, F.now());
+  EXPECT_TRUE(F.Owner.released());
+}
+
+// Guards against a takeover that floods a rack with connections, and against
+// silent endpoints that use up all places.
+TEST(ShardOwnership, BoundsAttachesInFlight) {
+  ShardOwnership Owner(Shard, ProcessId("p"), 1);
+  Owner.setEndpoints(endpoints(100), timeAt(0));
+  Owner.setWish({true, false}, timeAt(0));
+  std::set<EndpointId> Tried;
+  for (int64_t Ms = 0; Ms <= 20000; Ms += 100) {
+    std::vector<OwnershipCommand> Out;
+    Owner.tick(timeAt(Ms), Out);
+    EXPECT_LE(Owner.attachesInFlight(), 32u);
+    for (const OwnershipCommand &Command : Out)
+      Tried.insert(Command.Endpoint);
+  }
+  EXPECT_EQ(Tried.size(), 100u);
+}
+
+// Guards against authority from a list that lost most of its rows: the other
+// owner may still use the long one.
+TEST(ShardOwnership, ShortListNeedsMoreThanAThirdOfTheLongOne) {
+  Fixture F(9);
+  F.run(8000);
+  F.Owner.setEndpoints(endpoints(3), F.now());
+  EXPECT_FALSE(F.Owner.hasAuthority(F.now()));
+  F.Owner.setEndpoints({}, F.now());
+  EXPECT_FALSE(F.Owner.hasAuthority(F.now()));
+}
+
+} // namespace
