--- a/include/teaselwalk/engine/event.hpp
+++ b/include/teaselwalk/engine/event.hpp
@@ -63,10 +63,9 @@
   std::string Message;
 };
 
-using EndpointReply =
-    std::variant<protocol::EndpointState, protocol::RunResult, RunStarted,
-                 protocol::StopResult, protocol::StaleEpoch, NoRoom,
-                 CommandFailed>;
+using EndpointReply = std::variant<protocol::EndpointState, protocol::RunResult,
+                                   RunStarted, protocol::StopResult,
+                                   protocol::StaleEpoch, NoRoom, CommandFailed>;
 
 struct EndpointReplied {
   CommandId Command = 0;
@@ -127,10 +126,10 @@
 /// Time has passed. Sent at least every `EngineOptions::TickInterval`.
 struct Tick {};
 
-using Event =
-    std::variant<CallReceived, JobReceived, JobQuery, JobCancel, StatusQuery,
-                 EndpointReplied, StoreReplied, VmListReceived,
-                 HeartbeatReceived, HeartbeatAnswered, PeerCallReceived, PeerCallAnswered,
-                 PeerCallFailed, ProposalReceived, DrainRequested, Tick>;
+using Event = std::variant<CallReceived, JobReceived, JobQuery, JobCancel,
+                           StatusQuery, EndpointReplied, StoreReplied,
+                           VmListReceived, HeartbeatReceived, HeartbeatAnswered,
+                           PeerCallReceived, PeerCallAnswered, PeerCallFailed,
+                           ProposalReceived, DrainRequested, Tick>;
 
 } // namespace teaselwalk::engine
--- a/include/teaselwalk/engine/job.hpp
+++ b/include/teaselwalk/engine/job.hpp
@@ -17,11 +17,11 @@
 struct JobTask {
   protocol::TaskState State = protocol::TaskState::Queued;
   Verdict Outcome = Verdict::NotRun;
-  EndpointId Endpoint;      ///< Of the latest attempt.
-  uint32_t Attempt = 0;     ///< Number of the latest attempt, 0 before it.
-  uint32_t StartCount = 0;  ///< Attempts so far.
-  uint32_t Failures = 0;    ///< Attempts that failed or vanished.
-  std::string Result;       ///< Of a finished or failed task.
+  EndpointId Endpoint;     ///< Of the latest attempt.
+  uint32_t Attempt = 0;    ///< Number of the latest attempt, 0 before it.
+  uint32_t StartCount = 0; ///< Attempts so far.
+  uint32_t Failures = 0;   ///< Attempts that failed or vanished.
+  std::string Result;      ///< Of a finished or failed task.
 };
 
 /// An accepted job. Its record in the store was written before the caller was
--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -153,8 +153,8 @@
   void resumeJob(Job &Value, bool AllKnown, TimePoint Now);
   void stopOrphans();
   schedule::WorkSpec workSpec(const Job &Value) const;
-  void record(EventName Name, std::vector<std::pair<std::string, std::string>>
-                                  Fields);
+  void record(EventName Name,
+              std::vector<std::pair<std::string, std::string>> Fields);
 
   protocol::ShardId Shard;
   const EngineOptions &Options;
@@ -180,11 +180,11 @@
 
   bool StartsAllowed = false;
   bool HadAuthority = false;
-  bool Taking = false;      ///< The guard follows a takeover.
-  bool Loaded = false;      ///< Jobs of the shard were read from the store.
-  bool LoadedAll = false;   ///< And no endpoint was unknown at that time.
+  bool Taking = false;    ///< The guard follows a takeover.
+  bool Loaded = false;    ///< Jobs of the shard were read from the store.
+  bool LoadedAll = false; ///< And no endpoint was unknown at that time.
   bool Loading = false;
-  uint64_t Generation = 0;  ///< Of the ownership, to drop late list answers.
+  uint64_t Generation = 0; ///< Of the ownership, to drop late list answers.
   TimePoint NextLoad;
   uint64_t CallSequence = 0;
 };
--- a/src/teaselwalk/engine/commands.cpp
+++ b/src/teaselwalk/engine/commands.cpp
@@ -38,8 +38,8 @@
 void Commands::forward(const protocol::Address &To,
                        protocol::ForwardedCall Call, OnCallAnswer OnAnswer,
                        OnCallFailure OnFailure) {
-  Forwards.emplace(
-      Next, ForwardHandlers{std::move(OnAnswer), std::move(OnFailure)});
+  Forwards.emplace(Next,
+                   ForwardHandlers{std::move(OnAnswer), std::move(OnFailure)});
   emit(engine::ForwardCall{Next++, To, std::move(Call)});
 }
 
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -80,25 +80,24 @@
   NextRead = Now + Options.HeadReadInterval;
   protocol::StoreRequest Read;
   Read.Key = config::documentKey(Revision);
-  Out.store(std::move(Read), Options.StoreTimeout,
-            [this, Revision](const StoreReply &Reply, TimePoint) {
-              Reading = false;
-              if (Reply.Status != StoreStatus::Ok)
-                return;
-              try {
-                config::Snapshot Copy =
-                    config::snapshotOf(Revision, Reply.Value);
-                if (config::advance(Copy, Head) ==
-                    config::AdvanceState::Advanced)
-                  Current = std::move(Copy);
-                else if (Copy.Revision == Head.Revision)
-                  Current = std::move(Copy);
-                adopted();
-              } catch (const Error &Failure) {
-                Out.emit(RecordEvent{EventName::DocumentStale,
-                                     {{"why", Failure.what()}}});
-              }
-            });
+  Out.store(
+      std::move(Read), Options.StoreTimeout,
+      [this, Revision](const StoreReply &Reply, TimePoint) {
+        Reading = false;
+        if (Reply.Status != StoreStatus::Ok)
+          return;
+        try {
+          config::Snapshot Copy = config::snapshotOf(Revision, Reply.Value);
+          if (config::advance(Copy, Head) == config::AdvanceState::Advanced)
+            Current = std::move(Copy);
+          else if (Copy.Revision == Head.Revision)
+            Current = std::move(Copy);
+          adopted();
+        } catch (const Error &Failure) {
+          Out.emit(
+              RecordEvent{EventName::DocumentStale, {{"why", Failure.what()}}});
+        }
+      });
 }
 
 void DocumentKeeper::adopted() {
@@ -130,31 +129,31 @@
       Head, Current, Next, {Change.Who, WallClockMs, Change.Why});
   if (!Record.CopyBefore)
     return writeHead(Record, Change.From);
-  writeDurably(Out, config::documentKey(Current.Revision),
-               config::serialise(Current.Content), 0, Options.StoreTimeout,
-               [this, Record, From = Change.From](const WriteResult &Result,
-                                                  TimePoint) {
-                 bool Present = Result.Outcome == WriteOutcome::Applied ||
-                                Result.Outcome == WriteOutcome::Conflict;
-                 if (!Present)
-                   return answer(From, ProposalOutcome::StoreUnavailable);
-                 writeHead(Record, From);
-               });
+  writeDurably(
+      Out, config::documentKey(Current.Revision),
+      config::serialise(Current.Content), 0, Options.StoreTimeout,
+      [this, Record, From = Change.From](const WriteResult &Result, TimePoint) {
+        bool Present = Result.Outcome == WriteOutcome::Applied ||
+                       Result.Outcome == WriteOutcome::Conflict;
+        if (!Present)
+          return answer(From, ProposalOutcome::StoreUnavailable);
+        writeHead(Record, From);
+      });
 }
 
 void DocumentKeeper::writeHead(const config::NextHead &Next, Token From) {
-  writeDurably(
-      Out, config::HeadKey, config::serialise(Next.Head), HeadVersion,
-      Options.StoreTimeout,
-      [this, From](const WriteResult &Result, TimePoint Now) {
-        static constexpr std::array<ProposalOutcome, 4> Outcomes = {
-            ProposalOutcome::Accepted, ProposalOutcome::Conflict,
-            ProposalOutcome::StoreUnavailable, ProposalOutcome::Unknown};
-        NextRead = Now;
-        if (Result.Outcome == WriteOutcome::Applied)
-          Freshness.onPeer(Current.Revision + 1, Duration(0), Now);
-        answer(From, Outcomes[static_cast<size_t>(Result.Outcome)]);
-      });
+  writeDurably(Out, config::HeadKey, config::serialise(Next.Head), HeadVersion,
+               Options.StoreTimeout,
+               [this, From](const WriteResult &Result, TimePoint Now) {
+                 static constexpr std::array<ProposalOutcome, 4> Outcomes = {
+                     ProposalOutcome::Accepted, ProposalOutcome::Conflict,
+                     ProposalOutcome::StoreUnavailable,
+                     ProposalOutcome::Unknown};
+                 NextRead = Now;
+                 if (Result.Outcome == WriteOutcome::Applied)
+                   Freshness.onPeer(Current.Revision + 1, Duration(0), Now);
+                 answer(From, Outcomes[static_cast<size_t>(Result.Outcome)]);
+               });
 }
 
 void DocumentKeeper::answer(Token To, ProposalOutcome Outcome) {
--- a/src/teaselwalk/engine/engine_calls.cpp
+++ b/src/teaselwalk/engine/engine_calls.cpp
@@ -95,10 +95,10 @@
 void Engine::placeCall(OpenCall Call, TimePoint Now) {
   auto Refuse = [&](Refusal Reason, std::string Message, Duration RetryAfter) {
     ++Refused;
-    Out.emit(RecordEvent{
-        EventName::RequestRefused,
-        {{"request", Call.Request.Request.str()},
-         {"reason", std::string(protocol::rowOf(Reason).Name)}}});
+    Out.emit(
+        RecordEvent{EventName::RequestRefused,
+                    {{"request", Call.Request.Request.str()},
+                     {"reason", std::string(protocol::rowOf(Reason).Name)}}});
     Call.Answer(
         refuseCall(Call.Request, Reason, std::move(Message), RetryAfter));
   };
@@ -116,9 +116,9 @@
                   Duration(1000));
   if (Worker->openCalls() >= Options.MaxOpenCalls)
     return Refuse(Refusal::Overloaded, "too many open calls", Duration(1000));
-  Out.emit(RecordEvent{EventName::CallAccepted,
-                       {{"request", Call.Request.Request.str()},
-                        {"team", Call.Team.str()}}});
+  Out.emit(RecordEvent{
+      EventName::CallAccepted,
+      {{"request", Call.Request.Request.str()}, {"team", Call.Team.str()}}});
   schedule::Admission Result = Worker->admitCall(Call, Now);
   if (!Result)
     Refuse(Result.Reason, Result.Message, Result.RetryAfter);
@@ -144,9 +144,9 @@
   Message.Call = Call.Request;
   Message.Call.Deadline = Left;
   Message.Hops = Call.Hops + 1;
-  Out.emit(RecordEvent{EventName::CallForwarded,
-                       {{"request", Call.Request.Request.str()},
-                        {"to", Best->Process.str()}}});
+  Out.emit(RecordEvent{
+      EventName::CallForwarded,
+      {{"request", Call.Request.Request.str()}, {"to", Best->Process.str()}}});
   ++Forwarded;
   auto Held = std::make_shared<OpenCall>(std::move(Call));
   Out.forward(
--- a/src/teaselwalk/engine/engine_jobs.cpp
+++ b/src/teaselwalk/engine/engine_jobs.cpp
@@ -24,9 +24,10 @@
 void Engine::refuseJob(Token From, const JobId &Id, Refusal Reason,
                        Verdict Outcome, std::string Message) {
   ++Refused;
-  Out.emit(RecordEvent{EventName::RequestRefused,
-                       {{"job", Id.str()},
-                        {"reason", std::string(protocol::rowOf(Reason).Name)}}});
+  Out.emit(
+      RecordEvent{EventName::RequestRefused,
+                  {{"job", Id.str()},
+                   {"reason", std::string(protocol::rowOf(Reason).Name)}}});
   Out.emit(AnswerJob{From, Id, Reason, Outcome, std::move(Message)});
 }
 
@@ -34,8 +35,7 @@
   const protocol::JobSpec &Spec = Event.Job.Spec;
   TeamId Team;
   std::string Message;
-  Refusal Reason =
-      checkAccess(Event.Job.Key, Spec.Queue, Now, Team, Message);
+  Refusal Reason = checkAccess(Event.Job.Key, Spec.Queue, Now, Team, Message);
   if (Reason != Refusal::None)
     return refuseJob(Event.From, {}, Reason, Verdict::NotRun, Message);
   ShardWorker *Worker = roomiest(Now);
@@ -56,25 +56,24 @@
 
 void Engine::claim(const std::shared_ptr<Acceptance> &Request) {
   const Job &Value = Request->Value;
-  writeDurably(
-      Out, claimKey(Value.Team, Request->Request), Value.Id.str(), 0,
-      Options.StoreTimeout,
-      [this, Request](const WriteResult &Result, TimePoint) {
-        switch (Result.Outcome) {
-        case WriteOutcome::Applied:
-          return writeJob(Request);
-        case WriteOutcome::Conflict:
-          // The request id has a home already: record the job there.
-          Request->Value.Id = JobId(Result.Value);
-          return writeJob(Request);
-        case WriteOutcome::NotApplied:
-        case WriteOutcome::Unknown:
-          // Without its record the job cannot run, claimed or not.
-          return refuseJob(Request->From, Request->Value.Id,
-                           Refusal::StoreUnavailable, Verdict::NotRun,
-                           "the job cannot be recorded at present");
-        }
-      });
+  writeDurably(Out, claimKey(Value.Team, Request->Request), Value.Id.str(), 0,
+               Options.StoreTimeout,
+               [this, Request](const WriteResult &Result, TimePoint) {
+                 switch (Result.Outcome) {
+                 case WriteOutcome::Applied:
+                   return writeJob(Request);
+                 case WriteOutcome::Conflict:
+                   // The request id has a home already: record the job there.
+                   Request->Value.Id = JobId(Result.Value);
+                   return writeJob(Request);
+                 case WriteOutcome::NotApplied:
+                 case WriteOutcome::Unknown:
+                   // Without its record the job cannot run, claimed or not.
+                   return refuseJob(Request->From, Request->Value.Id,
+                                    Refusal::StoreUnavailable, Verdict::NotRun,
+                                    "the job cannot be recorded at present");
+                 }
+               });
 }
 
 void Engine::writeJob(const std::shared_ptr<Acceptance> &Request) {
@@ -102,8 +101,8 @@
               "the job may have been recorded; ask for its status or submit "
               "it again with the same request id");
         }
-        Out.emit(AnswerJob{Request->From, Accepted.Id, Refusal::None,
-                           Verdict::NotRun, {}});
+        Out.emit(AnswerJob{
+            Request->From, Accepted.Id, Refusal::None, Verdict::NotRun, {}});
       });
 }
 
@@ -137,14 +136,15 @@
 namespace {
 
 /// Enters the ended tasks of \p Value that the batches name.
-void applyBatches(Job &Value, const std::vector<protocol::StoreEntry> &Batches) {
+void applyBatches(Job &Value,
+                  const std::vector<protocol::StoreEntry> &Batches) {
   for (const protocol::StoreEntry &Entry : Batches)
     for (const DoneTask &Item : decodeDone(Entry.Value)) {
       if (Item.Job != Value.Id || Item.Index >= Value.Tasks.size())
         continue;
       JobTask &Row = Value.Tasks[Item.Index];
-      Row.State = Item.Ok ? protocol::TaskState::Finished
-                          : protocol::TaskState::Failed;
+      Row.State =
+          Item.Ok ? protocol::TaskState::Finished : protocol::TaskState::Failed;
       Row.Outcome = Item.Outcome;
       Row.Endpoint = Item.Endpoint;
       Row.Result = Item.Result;
@@ -163,33 +163,33 @@
     return Answer(Refusal::NotFound, {});
   protocol::StoreRequest Read;
   Read.Key = jobKey(Event.Job);
-  Out.store(
-      std::move(Read), Options.StoreTimeout,
-      [this, Answer, Team, Home](const StoreReply &Reply, TimePoint) {
-        if (Reply.Status == StoreStatus::NotFound)
-          return Answer(Refusal::NotFound, {});
-        if (Reply.Status != StoreStatus::Ok)
-          return Answer(Refusal::StoreUnavailable, {});
-        Job Value = decodeJob(Reply.Value, Reply.Version);
-        if (Value.Team != Team)
-          return Answer(Refusal::NotFound, {});
-        protocol::StoreRequest List;
-        List.Operation = protocol::StoreOperation::List;
-        List.Key = donePrefix(*Home);
-        Out.store(std::move(List), Options.StoreTimeout,
-                  [Answer, Value](const StoreReply &Batches, TimePoint) {
-                    if (Batches.Status != StoreStatus::Ok)
-                      return Answer(Refusal::StoreUnavailable, {});
-                    Job Recorded = Value;
-                    for (JobTask &Row : Recorded.Tasks)
-                      Row.State = protocol::TaskState::Unknown;
-                    applyBatches(Recorded, Batches.Entries);
-                    protocol::JobStatus Status = statusOf(Recorded);
-                    Status.Reason = "as recorded; the owner of the shard is "
-                                    "another process";
-                    Answer(Refusal::None, std::move(Status));
-                  });
-      });
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Answer, Team, Home](const StoreReply &Reply, TimePoint) {
+              if (Reply.Status == StoreStatus::NotFound)
+                return Answer(Refusal::NotFound, {});
+              if (Reply.Status != StoreStatus::Ok)
+                return Answer(Refusal::StoreUnavailable, {});
+              Job Value = decodeJob(Reply.Value, Reply.Version);
+              if (Value.Team != Team)
+                return Answer(Refusal::NotFound, {});
+              protocol::StoreRequest List;
+              List.Operation = protocol::StoreOperation::List;
+              List.Key = donePrefix(*Home);
+              Out.store(std::move(List), Options.StoreTimeout,
+                        [Answer, Value](const StoreReply &Batches, TimePoint) {
+                          if (Batches.Status != StoreStatus::Ok)
+                            return Answer(Refusal::StoreUnavailable, {});
+                          Job Recorded = Value;
+                          for (JobTask &Row : Recorded.Tasks)
+                            Row.State = protocol::TaskState::Unknown;
+                          applyBatches(Recorded, Batches.Entries);
+                          protocol::JobStatus Status = statusOf(Recorded);
+                          Status.Reason =
+                              "as recorded; the owner of the shard is "
+                              "another process";
+                          Answer(Refusal::None, std::move(Status));
+                        });
+            });
 }
 
 void Engine::on(const JobCancel &Event, TimePoint Now) {
@@ -206,15 +206,14 @@
     Out.emit(AnswerJobStatus{Event.From, Refusal::NotFound, {}});
     return;
   }
-  Worker->cancelJob(
-      Event.Job, Now, [this, Worker, Event](bool IsRecorded) {
-        const Job *Value = Worker->findJob(Event.Job);
-        if (!IsRecorded || !Value) {
-          Out.emit(AnswerJobStatus{Event.From, Refusal::StoreUnavailable, {}});
-          return;
-        }
-        Out.emit(AnswerJobStatus{Event.From, Refusal::None, statusOf(*Value)});
-      });
+  Worker->cancelJob(Event.Job, Now, [this, Worker, Event](bool IsRecorded) {
+    const Job *Value = Worker->findJob(Event.Job);
+    if (!IsRecorded || !Value) {
+      Out.emit(AnswerJobStatus{Event.From, Refusal::StoreUnavailable, {}});
+      return;
+    }
+    Out.emit(AnswerJobStatus{Event.From, Refusal::None, statusOf(*Value)});
+  });
 }
 
 void Engine::cancelInStore(Token From, const JobId &Id, const TeamId &Team) {
@@ -223,27 +222,27 @@
   };
   protocol::StoreRequest Read;
   Read.Key = jobKey(Id);
-  Out.store(
-      std::move(Read), Options.StoreTimeout,
-      [this, Answer, Team](const StoreReply &Reply, TimePoint) {
-        if (Reply.Status == StoreStatus::NotFound)
-          return Answer(Refusal::NotFound, {});
-        if (Reply.Status != StoreStatus::Ok)
-          return Answer(Refusal::StoreUnavailable, {});
-        Job Value = decodeJob(Reply.Value, Reply.Version);
-        if (Value.Team != Team)
-          return Answer(Refusal::NotFound, {});
-        if (isEnded(Value.State))
-          return Answer(Refusal::None, statusOf(Value));
-        Value.State = protocol::JobState::Cancelled;
-        writeDurably(Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
-                     Options.StoreTimeout,
-                     [Answer, Value](const WriteResult &Result, TimePoint) {
-                       if (Result.Outcome != WriteOutcome::Applied)
-                         return Answer(Refusal::StoreUnavailable, {});
-                       Answer(Refusal::None, statusOf(Value));
-                     });
-      });
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Answer, Team](const StoreReply &Reply, TimePoint) {
+              if (Reply.Status == StoreStatus::NotFound)
+                return Answer(Refusal::NotFound, {});
+              if (Reply.Status != StoreStatus::Ok)
+                return Answer(Refusal::StoreUnavailable, {});
+              Job Value = decodeJob(Reply.Value, Reply.Version);
+              if (Value.Team != Team)
+                return Answer(Refusal::NotFound, {});
+              if (isEnded(Value.State))
+                return Answer(Refusal::None, statusOf(Value));
+              Value.State = protocol::JobState::Cancelled;
+              writeDurably(
+                  Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
+                  Options.StoreTimeout,
+                  [Answer, Value](const WriteResult &Result, TimePoint) {
+                    if (Result.Outcome != WriteOutcome::Applied)
+                      return Answer(Refusal::StoreUnavailable, {});
+                    Answer(Refusal::None, statusOf(Value));
+                  });
+            });
 }
 
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/job.cpp
+++ b/src/teaselwalk/engine/job.cpp
@@ -34,8 +34,8 @@
 
 std::string requestHash(const TeamId &Team, const RequestId &Request) {
   // The length keeps ("a", "bc") and ("ab", "c") apart.
-  std::string Text = std::to_string(Team.str().size()) + ':' + Team.str() +
-                     Request.str();
+  std::string Text =
+      std::to_string(Team.str().size()) + ':' + Team.str() + Request.str();
   XXH128_hash_t Hash = XXH3_128bits(Text.data(), Text.size());
   char Hex[33];
   std::snprintf(Hex, sizeof(Hex), "%016llx%016llx",
--- a/src/teaselwalk/engine/record.cpp
+++ b/src/teaselwalk/engine/record.cpp
@@ -42,11 +42,12 @@
 }
 
 std::string encodeJob(const Job &Value) {
-  nlohmann::json Json = {{"job", Value.Id.str()},
-                         {"team", Value.Team.str()},
-                         {"spec", Value.Spec},
-                         {"state", nameOf(protocol::JobStateNames, Value.State)},
-                         {"reason", Value.Reason}};
+  nlohmann::json Json = {
+      {"job", Value.Id.str()},
+      {"team", Value.Team.str()},
+      {"spec", Value.Spec},
+      {"state", nameOf(protocol::JobStateNames, Value.State)},
+      {"reason", Value.Reason}};
   return Json.dump();
 }
 
@@ -56,8 +57,8 @@
     Job Value = makeJob(JobId(Json.at("job").get<std::string>()),
                         TeamId(Json.at("team").get<std::string>()),
                         Json.at("spec").get<protocol::JobSpec>());
-    auto State = valueOf(protocol::JobStateNames,
-                         Json.at("state").get<std::string>());
+    auto State =
+        valueOf(protocol::JobStateNames, Json.at("state").get<std::string>());
     if (!State)
       throw Error("malformed job record: unknown state");
     Value.State = *State;
@@ -88,9 +89,8 @@
       Task.Job = JobId(Row.at("job").get<std::string>());
       Row.at("index").get_to(Task.Index);
       Row.at("ok").get_to(Task.Ok);
-      Task.Outcome =
-          valueOf(VerdictNames, Row.at("verdict").get<std::string>())
-              .value_or(Verdict::MayHaveRun);
+      Task.Outcome = valueOf(VerdictNames, Row.at("verdict").get<std::string>())
+                         .value_or(Verdict::MayHaveRun);
       Task.Endpoint = EndpointId(Row.at("endpoint").get<std::string>());
       Row.at("result").get_to(Task.Result);
       Batch.push_back(std::move(Task));
--- a/src/teaselwalk/engine/shard_worker.cpp
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -194,11 +194,11 @@
   } else {
     Message = protocol::AttachCommand{Command.Owner};
   }
-  Out.endpoint(Command.At, std::move(Message), Options.EndpointTimeout,
-               [this, Command, Now](const EndpointReply &Reply,
-                                    TimePoint Later) {
-                 onOwnershipReply(Command, Now, Reply, Later);
-               });
+  Out.endpoint(
+      Command.At, std::move(Message), Options.EndpointTimeout,
+      [this, Command, Now](const EndpointReply &Reply, TimePoint Later) {
+        onOwnershipReply(Command, Now, Reply, Later);
+      });
 }
 
 void ShardWorker::onOwnershipReply(const OwnershipCommand &Command,
@@ -225,8 +225,7 @@
 }
 
 void ShardWorker::onState(const EndpointId &Endpoint, TimePoint SentAt,
-                          const protocol::EndpointState &State,
-                          TimePoint Now) {
+                          const protocol::EndpointState &State, TimePoint Now) {
   Guard.onReached(Endpoint);
   Capacities[Endpoint] = State.Capacity;
   SaysLeaving[Endpoint] = State.Leaving;
@@ -239,8 +238,8 @@
     adopt(Endpoint, Task, Now);
     Queue.usage(Task.Id.Task, Task.Usage);
   }
-  std::set<protocol::Attempt, bool (*)(const protocol::Attempt &,
-                                       const protocol::Attempt &)>
+  std::set<protocol::Attempt,
+           bool (*)(const protocol::Attempt &, const protocol::Attempt &)>
       Reported([](const protocol::Attempt &A, const protocol::Attempt &B) {
         return A.Task != B.Task ? A.Task < B.Task : A.Number < B.Number;
       });
--- a/src/teaselwalk/engine/shard_worker_jobs.cpp
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -44,8 +44,8 @@
   return Spec;
 }
 
-schedule::Admission
-ShardWorker::checkJob(const TeamId &Team, const protocol::JobSpec &Spec) const {
+schedule::Admission ShardWorker::checkJob(const TeamId &Team,
+                                          const protocol::JobSpec &Spec) const {
   Job Probe;
   Probe.Team = Team;
   Probe.Spec = Spec;
@@ -119,8 +119,8 @@
     // A start is not recorded in the store, so a task that is found nowhere
     // may have run on a VM that is gone.
     for (uint32_t Index : Missing)
-      settleTask(Value, Index, false, Verdict::MayHaveRun,
-                 "lost in a takeover", {makeTaskId(Value.Id, Index), 0}, Now);
+      settleTask(Value, Index, false, Verdict::MayHaveRun, "lost in a takeover",
+                 {makeTaskId(Value.Id, Index), 0}, Now);
     Missing.clear();
   }
   if (AllKnown)
@@ -221,10 +221,10 @@
         [](const JobTask &Row) { return Row.State == TaskState::Failed; });
     Value.State = AnyFailed ? JobState::Failed : JobState::Finished;
     Value.Dirty = true;
-    record(EventName::JobEnded,
-           {{"job", Value.Id.str()},
-            {"state",
-             std::string(nameOf(protocol::JobStateNames, Value.State))}});
+    record(
+        EventName::JobEnded,
+        {{"job", Value.Id.str()},
+         {"state", std::string(nameOf(protocol::JobStateNames, Value.State))}});
   }
   Value.EndedAt = Now;
 }
@@ -359,8 +359,8 @@
     return;
   }
   Out.store(listOf(donePrefix(Shard)), Options.StoreTimeout,
-            [this, Reply, AllKnown, Mine = Generation](const StoreReply &DoneList,
-                                                       TimePoint Later) {
+            [this, Reply, AllKnown,
+             Mine = Generation](const StoreReply &DoneList, TimePoint Later) {
               if (Mine != Generation)
                 return;
               Loading = false;
--- a/src/teaselwalk/engine/shard_worker_run.cpp
+++ b/src/teaselwalk/engine/shard_worker_run.cpp
@@ -34,8 +34,8 @@
   }
 }
 
-bool ShardWorker::fillCommand(const TaskId &Task,
-                              protocol::RunCommand &Command, TimePoint Now) {
+bool ShardWorker::fillCommand(const TaskId &Task, protocol::RunCommand &Command,
+                              TimePoint Now) {
   auto Call = Calls.find(Task);
   if (Call != Calls.end()) {
     OpenCall &Value = Call->second;
@@ -87,19 +87,18 @@
     Row.Attempt = Command.Id.Number;
     Value.State = protocol::JobState::Running;
   }
-  Duration Timeout =
-      Command.Wait ? Command.Lease : Options.EndpointTimeout;
+  Duration Timeout = Command.Wait ? Command.Lease : Options.EndpointTimeout;
   Owner.onRunSent(Place.Endpoint, Now);
   record(EventName::TaskStarting,
          {{"task", Place.Task.str()},
           {"attempt", std::to_string(Command.Id.Number)},
           {"endpoint", Place.Endpoint.str()},
           {"team", Command.Team.str()}});
-  Out.endpoint(Vm->second.At, std::move(Command), Timeout,
-               [this, Id = Entry.Id](const EndpointReply &Reply,
-                                     TimePoint Later) {
-                 onRunReply(Id, Reply, Later);
-               });
+  Out.endpoint(
+      Vm->second.At, std::move(Command), Timeout,
+      [this, Id = Entry.Id](const EndpointReply &Reply, TimePoint Later) {
+        onRunReply(Id, Reply, Later);
+      });
 }
 
 void ShardWorker::onRunReply(const protocol::Attempt &Id,
@@ -191,11 +190,11 @@
           {"endpoint", Task.Endpoint.str()},
           {"mode", std::string(nameOf(protocol::StopModeNames, Mode))}});
   protocol::StopCommand Command{Owner.epoch(), Task.Id, Mode};
-  Out.endpoint(Vm->second.At, std::move(Command), Options.EndpointTimeout,
-               [this, Id = Task.Id](const EndpointReply &Reply,
-                                    TimePoint Later) {
-                 onStopReply(Id, Reply, Later);
-               });
+  Out.endpoint(
+      Vm->second.At, std::move(Command), Options.EndpointTimeout,
+      [this, Id = Task.Id](const EndpointReply &Reply, TimePoint Later) {
+        onStopReply(Id, Reply, Later);
+      });
 }
 
 void ShardWorker::onStopReply(const protocol::Attempt &Id,
