schedule: endpoint table, queues, fair decisions, holds and reclaim

Cause: the engine needs to know which queued task goes where and when. Change: placement index over free processor and memory, team accounts ordered by weighted dominant share, lanes of equal size per team and class, one reservation for the oldest gang with backfill, reclaim by checkpoint then stop, and the baseline policy first_fit_fcfs.

--- /dev/null
+++ b/include/teaselwalk/schedule/team_table.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "teaselwalk/base/id.hpp"
+#include "teaselwalk/base/resources.hpp"
+#include "teaselwalk/schedule/task.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace teaselwalk::schedule {
+
+/// Share and limits of a team in this process.
+struct TeamSettings {
+  double Weight = 1;
+  /// Upper limit of what runs in this process's shards. Components without a
+  /// limit are `Unlimited`.
+  Resources Allowance{Unlimited, Unlimited, Unlimited, Unlimited, Unlimited};
+  int64_t RunningTasks = Unlimited;
+  /// Upper limit over the fleet. Work above it is refused, since no move of
+  /// allowance can make it fit.
+  Resources Limit{Unlimited, Unlimited, Unlimited, Unlimited, Unlimited};
+  int64_t LimitTasks = Unlimited;
+};
+
+/// What a team has running and queued.
+struct TeamAccount {
+  TeamId Id;
+  TeamSettings Settings;
+  bool Present = false; ///< False once removed; running tasks still count.
+  Resources Charged;    ///< The larger of declared size and usage.
+  Resources Declared;
+  int64_t Running = 0;
+  int64_t Queued = 0;
+  std::array<int64_t, TaskClassCount> QueuedUnits{};
+  double Share = 0;         ///< Weighted dominant share; the order of service.
+  uint64_t BlockedRoom = 0; ///< Nothing fits while the room version is this.
+};
+
+/// Accounts of all teams, ordered by weighted dominant share.
+class TeamTable {
+public:
+  using Index = uint32_t;
+  /// Teams with queued work in order of service.
+  using Order = std::set<std::pair<double, Index>>;
+
+  /// Urgent work has an order of its own, which is served first.
+  enum Lane : size_t { UrgentLane, OtherLane, LaneCount };
+
+  Index update(const TeamId &Id, const TeamSettings &Settings);
+  void markRemoved(Index Team);
+  std::optional<Index> find(const TeamId &Id) const;
+  /// The index of \p Id, as a team without settings if it is unknown.
+  Index findOrAdd(const TeamId &Id);
+
+  const TeamAccount &at(Index Team) const { return Accounts[Team]; }
+  size_t size() const { return Accounts.size(); }
+  const Order &order(Lane Which) const { return Orders[Which]; }
+
+  /// Whether \p Count tasks of \p Size stay within the allowance.
+  bool allows(Index Team, const Resources &Size, int64_t Count) const;
+
+  /// Count \p Tasks more (or fewer, when negative) running tasks.
+  void charge(Index Team, const Resources &Declared, const Resources &Charged,
+              int64_t Tasks);
+  /// Count \p Tasks of one unit more (or fewer) queued.
+  void queue(Index Team, TaskClass Class, int64_t Units, int64_t Tasks);
+  void setBlocked(Index Team, uint64_t RoomVersion) {
+    Accounts[Team].BlockedRoom = RoomVersion;
+  }
+
+  /// Shares are relative to this amount.
+  void setCapacity(const Resources &Capacity);
+  /// Weighted dominant share of \p Team with \p Extra added.
+  double shareWith(Index Team, const Resources &Extra) const;
+
+private:
+  void reorder(Index Team, double Share);
+  void enter(Index Team);
+  void leave(Index Team);
+
+  std::vector<TeamAccount> Accounts;
+  std::unordered_map<TeamId, Index> Lookup;
+  std::array<Order, LaneCount> Orders;
+  Resources Capacity;
+};
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -0,0 +1,179 @@
+#include "state_functions.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::schedule {
+
+namespace {
+
+using Where = std::vector<EndpointTable::Index>;
+
+// First wait between two tries of a gang; doubles with every failure.
+constexpr Duration FirstGangDelay{100};
+
+bool isExpired(const Unit &Value, TimePoint Now) {
+  return Value.Spec.Deadline && *Value.Spec.Deadline <= Now;
+}
+
+/// Places for all tasks of a gang, or none. The room is taken while searching
+/// and given back at the end.
+Where placesForGang(SchedulerState &State, const Unit &Value) {
+  Where Chosen;
+  PlacementIndex::RackLoad Racks(State.Endpoints.rackCount(), 0);
+  while (Chosen.size() < Value.Tasks.size()) {
+    std::optional<EndpointTable::Index> At =
+        State.Endpoints.choose(Value.Spec.Size, &Racks);
+    if (!At)
+      break;
+    State.Endpoints.hold(*At, Value.Spec.Size);
+    ++Racks[State.Endpoints.rackNumber(*At)];
+    Chosen.push_back(*At);
+  }
+  State.Endpoints.unholdTrial(Chosen, Value.Spec.Size);
+  if (Chosen.size() < Value.Tasks.size())
+    Chosen.clear();
+  return Chosen;
+}
+
+Where tryGang(SchedulerState &State, Unit &Value, TimePoint Now) {
+  if (Now < Value.NextTry ||
+      !fits(Value.total(), State.Endpoints.totalRoom()) ||
+      isKnownNotToFit(State, Value.Spec.Size))
+    return {};
+  Where Chosen = placesForGang(State, Value);
+  if (Chosen.empty()) {
+    Value.TryDelay =
+        std::clamp(Value.TryDelay * 2, FirstGangDelay,
+                   std::max(FirstGangDelay, State.Options.MaxGangDelay));
+    Value.NextTry = Now + Value.TryDelay;
+  }
+  return Chosen;
+}
+
+Where trySingle(SchedulerState &State, const Unit &Value, TimePoint Now,
+                bool &Backfill) {
+  if (!isKnownNotToFit(State, Value.Spec.Size)) {
+    if (auto At = State.Endpoints.choose(Value.Spec.Size, nullptr))
+      return {*At};
+    noteNotFitting(State, Value.Spec.Size);
+  }
+  if (auto At = chooseBackfill(State, Value, Now)) {
+    Backfill = true;
+    return {*At};
+  }
+  return {};
+}
+
+/// Start one unit if the allowance and the endpoints have room for it.
+bool tryUnit(SchedulerState &State, UnitId Id, TimePoint Now,
+             std::vector<Placement> &Out) {
+  Unit &Value = *State.Queue.find(Id);
+  if (isExpired(Value, Now) ||
+      !State.Teams.allows(Value.Team, Value.Spec.Size,
+                          static_cast<int64_t>(Value.Tasks.size())))
+    return false;
+  bool Backfill = false;
+  Where Chosen = satisfiedPlaces(State, Id);
+  if (Chosen.empty())
+    Chosen = Value.isGang() ? tryGang(State, Value, Now)
+                            : trySingle(State, Value, Now, Backfill);
+  if (Chosen.empty())
+    return false;
+  startUnit(State, Id, Chosen, Backfill, Now, Out);
+  return true;
+}
+
+bool tryClass(SchedulerState &State, TeamTable::Index Team, TaskClass Class,
+              TimePoint Now, std::vector<Placement> &Out) {
+  size_t Left = State.Options.MaxLanes;
+  for (const auto &[Head, Lane] : State.Queue.lanes(Team, Class).heads()) {
+    if (tryUnit(State, Head, Now, Out))
+      return true;
+    if (--Left == 0)
+      return false;
+  }
+  return false;
+}
+
+bool tryTeam(SchedulerState &State, TeamTable::Index Team, TeamTable::Lane Lane,
+             TimePoint Now, std::vector<Placement> &Out) {
+  if (Lane == TeamTable::UrgentLane)
+    return tryClass(State, Team, TaskClass::Urgent, Now, Out);
+  for (TaskClass Class :
+       {TaskClass::Call, TaskClass::Service, TaskClass::Batch})
+    if (tryClass(State, Team, Class, Now, Out))
+      return true;
+  return false;
+}
+
+/// Serve teams in order of their shares. Teams that were passed over stay
+/// blocked for the rest of the pass, since room only gets less.
+bool servePass(SchedulerState &State, TeamTable::Lane Lane, size_t Limit,
+               TimePoint Now, std::vector<Placement> &Out) {
+  const TeamTable::Order &Order = State.Teams.order(Lane);
+  auto Next = Order.begin();
+  while (Next != Order.end()) {
+    if (Out.size() >= Limit)
+      return true;
+    std::pair<double, TeamTable::Index> Key = *Next;
+    if (tryTeam(State, Key.second, Lane, Now, Out))
+      Next = Order.lower_bound(Key);
+    else
+      ++Next;
+  }
+  return false;
+}
+
+/// Units with reservations whose room is complete go before all others.
+void startHeld(SchedulerState &State, TimePoint Now,
+               std::vector<Placement> &Out) {
+  std::vector<UnitId> Units;
+  for (const auto &[Unit, Value] : State.Holds)
+    Units.push_back(Unit);
+  for (UnitId Unit : Units)
+    if (State.Holds.count(Unit) != 0 && !satisfiedPlaces(State, Unit).empty())
+      tryUnit(State, Unit, Now, Out);
+}
+
+} // namespace
+
+bool decideFair(SchedulerState &State, TimePoint Now,
+                std::vector<Placement> &Out) {
+  refreshShares(State);
+  size_t Limit = Out.size() + State.Options.MaxStartsPerDecision;
+  startHeld(State, Now, Out);
+  if (servePass(State, TeamTable::UrgentLane, Limit, Now, Out) ||
+      servePass(State, TeamTable::OtherLane, Limit, Now, Out))
+    return true;
+  updateReservation(State, Now);
+  return false;
+}
+
+bool decideFirstFitFcfs(SchedulerState &State, TimePoint Now,
+                        std::vector<Placement> &Out) {
+  size_t Limit = Out.size() + State.Options.MaxStartsPerDecision;
+  while (!State.Queue.units().empty()) {
+    if (Out.size() >= Limit)
+      return true;
+    const Unit &Value = State.Queue.units().begin()->second;
+    if (isExpired(Value, Now) ||
+        !State.Teams.allows(Value.Team, Value.Spec.Size,
+                            static_cast<int64_t>(Value.Tasks.size())))
+      return false;
+    Where Chosen;
+    while (Chosen.size() < Value.Tasks.size()) {
+      auto At = State.Endpoints.firstFit(Value.Spec.Size);
+      if (!At)
+        break;
+      State.Endpoints.hold(*At, Value.Spec.Size);
+      Chosen.push_back(*At);
+    }
+    State.Endpoints.unholdTrial(Chosen, Value.Spec.Size);
+    if (Chosen.size() < Value.Tasks.size())
+      return false;
+    startUnit(State, Value.Id, Chosen, false, Now, Out);
+  }
+  return false;
+}
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/hold.cpp
@@ -0,0 +1,95 @@
+#include "state_functions.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::schedule {
+
+namespace {
+
+Resources times(Resources Value, int64_t Factor) {
+  for (int64_t Resources::*Field : ResourceFields)
+    Value.*Field *= Factor;
+  return Value;
+}
+
+} // namespace
+
+void addHold(SchedulerState &State, Hold Value) {
+  for (const HeldPlace &Place : Value.Places)
+    State.Endpoints.hold(Place.Endpoint, times(Value.Size, Place.Tasks));
+  State.Holds[Value.Unit] = std::move(Value);
+}
+
+void removeHold(SchedulerState &State, UnitId Unit) {
+  auto Found = State.Holds.find(Unit);
+  if (Found == State.Holds.end())
+    return;
+  for (const HeldPlace &Place : Found->second.Places)
+    State.Endpoints.unhold(Place.Endpoint,
+                           times(Found->second.Size, Place.Tasks));
+  State.Holds.erase(Found);
+  if (State.Reserved == Unit)
+    State.Reserved.reset();
+}
+
+std::vector<EndpointTable::Index> satisfiedPlaces(SchedulerState &State,
+                                                  UnitId Unit) {
+  auto Found = State.Holds.find(Unit);
+  if (Found == State.Holds.end())
+    return {};
+  Hold &Value = Found->second;
+  auto HasRoom = [&](const HeldPlace &Place) {
+    return State.Endpoints.isOpen(Place.Endpoint) &&
+           fits(times(Value.Size, Place.Tasks),
+                State.Endpoints.room(Place.Endpoint));
+  };
+  // The place that failed last time most likely still fails.
+  if (!HasRoom(Value.Places[Value.Unsatisfied]))
+    return {};
+  for (size_t I = 0; I < Value.Places.size(); ++I)
+    if (!HasRoom(Value.Places[I])) {
+      Value.Unsatisfied = I;
+      return {};
+    }
+  std::vector<EndpointTable::Index> Result;
+  for (const HeldPlace &Place : Value.Places)
+    Result.insert(Result.end(), static_cast<size_t>(Place.Tasks),
+                  Place.Endpoint);
+  return Result;
+}
+
+std::optional<EndpointTable::Index>
+chooseBackfill(const SchedulerState &State, const Unit &Value, TimePoint Now) {
+  // Bounds the cost of a decision; the holds are few.
+  constexpr int MaxProbes = 32;
+  if (Value.isGang() || Value.Spec.RunTime <= Duration(0) || !State.Reserved)
+    return std::nullopt;
+  const Hold &Kept = State.Holds.at(*State.Reserved);
+  if (Kept.Reclaiming || Now + Value.Spec.RunTime > Kept.Start)
+    return std::nullopt;
+  int Left = MaxProbes;
+  for (const HeldPlace &Place : Kept.Places) {
+    if (Left-- == 0)
+      break;
+    // Only the reservation's own part may be borrowed, not a reclaim's.
+    Resources Others =
+        State.Endpoints.held(Place.Endpoint) - times(Kept.Size, Place.Tasks);
+    if (State.Endpoints.isOpen(Place.Endpoint) &&
+        fits(Value.Spec.Size, State.Endpoints.room(Place.Endpoint) - Others))
+      return Place.Endpoint;
+  }
+  return std::nullopt;
+}
+
+void dropHoldsOn(SchedulerState &State, EndpointTable::Index Endpoint) {
+  std::vector<UnitId> Dropped;
+  for (const auto &[Unit, Value] : State.Holds)
+    if (std::any_of(
+            Value.Places.begin(), Value.Places.end(),
+            [&](const HeldPlace &Place) { return Place.Endpoint == Endpoint; }))
+      Dropped.push_back(Unit);
+  for (UnitId Unit : Dropped)
+    removeHold(State, Unit);
+}
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/reservation.cpp
@@ -0,0 +1,148 @@
+#include "state_functions.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::schedule {
+
+namespace {
+
+/// One more task of the unit fits on the endpoint from this time on.
+struct Opening {
+  TimePoint When;
+  EndpointTable::Index Endpoint;
+};
+
+// Endpoints looked at for a reservation, per task of the unit and at least.
+// Bounds the cost of planning on a large cluster.
+constexpr size_t EndpointsPerTask = 4;
+constexpr size_t MinEndpoints = 64;
+constexpr Duration MinOverrun{1000};
+// A reservation whose start has passed for so long is planned anew, because
+// tasks ran longer than declared.
+constexpr Duration ReplanDelay{3500};
+
+/// The declared end. A task that has run longer is expected to run for half as
+/// long again, so that plans do not rely on it more and more often.
+TimePoint expectedEnd(const RunningRecord &Record, TimePoint Now) {
+  if (*Record.End > Now)
+    return *Record.End;
+  return Now + std::max<Duration>(MinOverrun, (Now - Record.Start) / 2);
+}
+
+/// When places for \p Size open on one endpoint, by the declared ends.
+void findOpenings(const SchedulerState &State, EndpointTable::Index At,
+                  const Resources &Size, size_t Wanted, TimePoint Now,
+                  std::vector<Opening> &Out) {
+  Resources Room = State.Endpoints.room(At) - State.Endpoints.held(At);
+  std::vector<std::pair<TimePoint, const Resources *>> Ends;
+  for (RunningSet::Slot Slot : State.Running.on(At)) {
+    const RunningRecord &Record = State.Running.at(Slot);
+    if (Record.End)
+      Ends.emplace_back(expectedEnd(Record, Now), &Record.Charged);
+  }
+  std::sort(Ends.begin(), Ends.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  size_t Found = 0;
+  auto Fill = [&](TimePoint When) {
+    for (; Found < Wanted && fits(Size, Room); ++Found) {
+      Room -= Size;
+      Out.push_back({When, At});
+    }
+  };
+  Fill(Now);
+  for (const auto &[When, Amount] : Ends) {
+    if (Found >= Wanted)
+      break;
+    Room += *Amount;
+    Fill(When);
+  }
+}
+
+std::optional<Hold> planHold(const SchedulerState &State, const Unit &Value,
+                             TimePoint Now) {
+  const size_t Wanted = Value.Tasks.size();
+  size_t Left = std::max(MinEndpoints, EndpointsPerTask * Wanted);
+  std::vector<Opening> Openings;
+  for (EndpointTable::Index At = 0; At < State.Endpoints.indexEnd() && Left > 0;
+       ++At) {
+    if (!State.Endpoints.isOpen(At) ||
+        !fits(Value.Spec.Size, State.Endpoints.info(At).Capacity))
+      continue;
+    --Left;
+    findOpenings(State, At, Value.Spec.Size, Wanted, Now, Openings);
+  }
+  if (Openings.size() < Wanted)
+    return std::nullopt;
+  std::stable_sort(
+      Openings.begin(), Openings.end(),
+      [](const Opening &A, const Opening &B) { return A.When < B.When; });
+  Openings.resize(Wanted);
+  Hold Result;
+  Result.Unit = Value.Id;
+  Result.Size = Value.Spec.Size;
+  Result.Start = Openings.back().When;
+  std::sort(Openings.begin(), Openings.end(),
+            [](const Opening &A, const Opening &B) {
+              return A.Endpoint < B.Endpoint;
+            });
+  for (const Opening &Next : Openings) {
+    if (Result.Places.empty() || Result.Places.back().Endpoint != Next.Endpoint)
+      Result.Places.push_back({Next.Endpoint, 0});
+    ++Result.Places.back().Tasks;
+  }
+  return Result;
+}
+
+bool mayReserve(const SchedulerState &State, const Unit &Value) {
+  return State.Holds.count(Value.Id) == 0 &&
+         State.Teams.allows(Value.Team, Value.Spec.Size,
+                            static_cast<int64_t>(Value.Tasks.size()));
+}
+
+/// The oldest gang or aged unit that could run within its team's allowance.
+const Unit *nextForReservation(const SchedulerState &State, TimePoint Now) {
+  // Units looked at; the rest wait for the next decision.
+  constexpr int MaxLooked = 64;
+  int Left = MaxLooked;
+  const Unit *Best = nullptr;
+  for (UnitId Id : State.Queue.gangs()) {
+    const Unit &Value = *State.Queue.find(Id);
+    if (Left-- == 0)
+      break;
+    if (mayReserve(State, Value)) {
+      Best = &Value;
+      break;
+    }
+  }
+  Left = MaxLooked;
+  for (const auto &[Id, Value] : State.Queue.units()) {
+    if (Left-- == 0 || (Best && Id >= Best->Id) ||
+        Value.Arrived + State.Options.AgeLimit > Now)
+      break;
+    if (mayReserve(State, Value))
+      return &Value;
+  }
+  return Best;
+}
+
+} // namespace
+
+void updateReservation(SchedulerState &State, TimePoint Now) {
+  if (State.Reserved) {
+    const Unit &Value = *State.Queue.find(*State.Reserved);
+    if (State.Teams.allows(Value.Team, Value.Spec.Size,
+                           static_cast<int64_t>(Value.Tasks.size())) &&
+        Now < State.Holds.at(Value.Id).Start + ReplanDelay)
+      return;
+    removeHold(State, *State.Reserved);
+  }
+  const Unit *Next = nextForReservation(State, Now);
+  if (!Next)
+    return;
+  if (std::optional<Hold> Plan = planHold(State, *Next, Now)) {
+    State.Reserved = Next->Id;
+    addHold(State, std::move(*Plan));
+  }
+}
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/scheduler_test.cpp
@@ -0,0 +1,183 @@
+#include "teaselwalk/schedule/scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace teaselwalk::schedule {
+namespace {
+
+using protocol::Refusal;
+
+const Resources Machine{64000, 131072, 0, 8, 60};
+
+struct SchedulerTest : testing::Test {
+  Scheduler S;
+  TimePoint Now = timeAt(0);
+
+  void SetUp() override {
+    S.setTeam(TeamId("blue"), {});
+    S.setTeam(TeamId("red"), {});
+    S.setQueue(QueueId("batch"), TaskClass::Batch);
+    S.setQueue(QueueId("call"), TaskClass::Call);
+  }
+
+  void endpoints(int Count, const Resources &Capacity = Machine) {
+    for (int I = 0; I < Count; ++I)
+      S.setEndpoint({EndpointId("e" + std::to_string(I)), DataCentreId("d"),
+                     RackId("r" + std::to_string(I / 8)), Capacity});
+  }
+
+  static WorkSpec work(const char *Team, const Resources &Size,
+                       int64_t RunMs = 0, const char *Queue = "batch") {
+    WorkSpec Spec;
+    Spec.Team = TeamId(Team);
+    Spec.Queue = QueueId(Queue);
+    Spec.Size = Size;
+    Spec.RunTime = Duration(RunMs);
+    return Spec;
+  }
+
+  static std::vector<TaskId> names(const std::string &Prefix, int Count) {
+    std::vector<TaskId> Result;
+    Result.reserve(static_cast<size_t>(Count));
+    for (int I = 0; I < Count; ++I)
+      Result.emplace_back(Prefix + "/" + std::to_string(I));
+    return Result;
+  }
+
+  std::vector<Placement> decide() {
+    std::vector<Placement> Out;
+    while (S.decide(Now, Out))
+      ;
+    return Out;
+  }
+};
+
+// Guards against a component of the capacity that placement ignores (I1).
+TEST_F(SchedulerTest, EveryComponentLimitsPlacement) {
+  Resources Room{1000, 1000, 2, 4, 4};
+  for (int64_t Resources::*Field : ResourceFields) {
+    Scheduler One;
+    One.setTeam(TeamId("blue"), {});
+    One.setQueue(QueueId("batch"), TaskClass::Batch);
+    One.setEndpoint({EndpointId("e"), DataCentreId("d"), RackId("r"), Room});
+    Resources Size{0, 0, 0, 1, 0};
+    Size.*Field = Room.*Field / 2 + 1;
+    ASSERT_TRUE(One.admit(TaskId("a"), work("blue", Size), Now));
+    ASSERT_TRUE(One.admit(TaskId("b"), work("blue", Size), Now));
+    std::vector<Placement> Out;
+    One.decide(Now, Out);
+    EXPECT_EQ(Out.size(), 1U);
+  }
+}
+
+// Guards against room handed out twice when a task uses more than declared
+// and the report arrives late.
+TEST_F(SchedulerTest, UsageAboveDeclaredSizeTakesRoom) {
+  endpoints(1);
+  ASSERT_TRUE(S.admit(TaskId("a"), work("blue", {1000, 1000, 0, 1, 1}), Now));
+  ASSERT_EQ(decide().size(), 1U);
+  S.usage(TaskId("a"), {60000, 500, 0, 0, 0});
+  ASSERT_TRUE(S.admit(TaskId("b"), work("blue", {5000, 10, 0, 1, 1}), Now));
+  EXPECT_TRUE(decide().empty());
+  S.usage(TaskId("a"), {10, 10, 0, 0, 0});
+  EXPECT_EQ(S.team(TeamId("blue"))->Charged, (Resources{1000, 1000, 0, 1, 1}));
+  EXPECT_EQ(decide().size(), 1U);
+}
+
+// Guards against work above a team's allowance, also with free room (I4).
+TEST_F(SchedulerTest, BorrowingStopsAtAllowance) {
+  endpoints(4);
+  TeamSettings Limited;
+  Limited.Allowance.MilliCpu = 10000;
+  Limited.RunningTasks = 3;
+  S.setTeam(TeamId("blue"), Limited);
+  for (const TaskId &Task : names("small", 8))
+    ASSERT_TRUE(S.admit(Task, work("blue", {1000, 10, 0, 1, 1}), Now));
+  EXPECT_EQ(decide().size(), 3U);
+  S.ended(TaskId("small/0"));
+  S.ended(TaskId("small/1"));
+  S.cancel(TaskId("small/7"));
+  ASSERT_TRUE(S.admit(TaskId("big"), work("red", {9000, 10, 0, 1, 1}), Now));
+  EXPECT_EQ(decide().size(), 3U);
+}
+
+// Guards against refusals without a reason and against unbounded queues.
+TEST_F(SchedulerTest, RefusesWhatCanNeverRunAndFullQueues) {
+  endpoints(2);
+  Admission Large =
+      S.admit(TaskId("a"), work("blue", {65000, 10, 0, 1, 1}), Now);
+  EXPECT_EQ(Large.Reason, Refusal::TooLarge);
+  EXPECT_NE(Large.Message.find("larger than any endpoint"), std::string::npos);
+  EXPECT_EQ(
+      S.admitGang(names("g", 17), work("blue", {1, 1, 0, 1, 1}), Now).Reason,
+      Refusal::TooLarge);
+  TeamSettings Limited;
+  Limited.Limit.MemoryMb = 100;
+  S.setTeam(TeamId("red"), Limited);
+  EXPECT_EQ(S.admit(TaskId("a"), work("red", {1, 101, 0, 1, 1}), Now).Reason,
+            Refusal::TooLarge);
+  for (const TaskId &Task : names("flood", 10000))
+    ASSERT_TRUE(S.admit(Task, work("blue", {1, 1, 0, 1, 1}), Now));
+  Admission Full = S.admit(TaskId("a"), work("blue", {1, 1, 0, 1, 1}), Now);
+  EXPECT_EQ(Full.Reason, Refusal::Overloaded);
+  EXPECT_GT(Full.RetryAfter, Duration(0));
+  EXPECT_TRUE(S.admit(TaskId("a"), work("red", {1, 1, 0, 1, 1}), Now));
+  EXPECT_EQ(S.admit(TaskId("a"), work("red", {1, 1, 0, 1, 1}), Now).Reason,
+            Refusal::BadRequest);
+}
+
+// Guards against work on endpoints that are leaving or out of use (I9).
+TEST_F(SchedulerTest, ClosedEndpointsReceiveNothing) {
+  endpoints(2);
+  S.setEndpoint(
+      {EndpointId("e0"), DataCentreId("d"), RackId("r0"), Machine, true, true});
+  S.setEndpoint({EndpointId("e1"), DataCentreId("d"), RackId("r0"), Machine,
+                 false, false});
+  ASSERT_TRUE(S.admit(TaskId("a"), work("blue", {1, 1, 0, 1, 1}), Now));
+  EXPECT_TRUE(decide().empty());
+  endpoints(1);
+  ASSERT_EQ(decide().size(), 1U);
+  EXPECT_EQ(S.endpointOf(TaskId("a")), EndpointId("e0"));
+  EXPECT_EQ(S.removeEndpoint(EndpointId("e0")),
+            std::vector<TaskId>{TaskId("a")});
+  EXPECT_EQ(S.team(TeamId("blue"))->Running, 0);
+}
+
+// Guards against a task that runs twice after it was read back (I2).
+TEST_F(SchedulerTest, AdoptedTaskLeavesQueueAndCountsAboveAllowance) {
+  endpoints(1);
+  TeamSettings Limited;
+  Limited.RunningTasks = 0;
+  S.setTeam(TeamId("blue"), Limited);
+  ASSERT_TRUE(S.admit(TaskId("a"), work("blue", {1, 1, 0, 1, 1}), Now));
+  AdoptedTask Found;
+  Found.Task = TaskId("a");
+  Found.Team = TeamId("blue");
+  Found.Endpoint = EndpointId("e0");
+  Found.Size = {1, 1, 0, 1, 1};
+  EXPECT_TRUE(S.adopt(Found, Now));
+  EXPECT_FALSE(S.adopt(Found, Now));
+  EXPECT_FALSE(S.isQueued(TaskId("a")));
+  EXPECT_EQ(S.team(TeamId("blue"))->Running, 1);
+  std::vector<ReclaimStep> Steps = S.reclaim(Now);
+  ASSERT_EQ(Steps.size(), 1U);
+  EXPECT_EQ(Steps[0].Reason, ReclaimReason::Allowance);
+}
+
+// Guards against starts after the deadline.
+TEST_F(SchedulerTest, ExpiredRequestsLeaveTheQueue) {
+  endpoints(1);
+  WorkSpec Spec = work("blue", {1, 1, 0, 1, 1}, 0, "call");
+  Spec.Deadline = timeAt(100);
+  ASSERT_TRUE(S.admit(TaskId("a"), Spec, Now));
+  EXPECT_EQ(S.nextDeadline(), timeAt(100));
+  Now = timeAt(100);
+  EXPECT_TRUE(decide().empty());
+  EXPECT_EQ(S.expire(Now), std::vector<TaskId>{TaskId("a")});
+  EXPECT_FALSE(S.nextDeadline());
+}
+
+} // namespace
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/state_functions.cpp
@@ -0,0 +1,77 @@
+#include "state_functions.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::schedule {
+
+Unit dropUnit(SchedulerState &State, UnitId Id) {
+  removeHold(State, Id);
+  Unit Value = State.Queue.take(Id);
+  State.Teams.queue(Value.Team, Value.Class, -1,
+                    -static_cast<int64_t>(Value.Tasks.size()));
+  return Value;
+}
+
+void enterRunning(SchedulerState &State, RunningRecord Record) {
+  State.Endpoints.reserve(Record.Endpoint, Record.Charged);
+  State.Teams.charge(Record.Team, Record.Size, Record.Charged, 1);
+  State.Running.insert(std::move(Record));
+}
+
+RunningRecord leaveRunning(SchedulerState &State, RunningSet::Slot At) {
+  RunningRecord Record = State.Running.take(At);
+  State.Endpoints.release(Record.Endpoint, Record.Charged);
+  State.Teams.charge(Record.Team, Resources() - Record.Size,
+                     Resources() - Record.Charged, -1);
+  return Record;
+}
+
+void startUnit(SchedulerState &State, UnitId Id,
+               const std::vector<EndpointTable::Index> &Where, bool Backfill,
+               TimePoint Now, std::vector<Placement> &Out) {
+  Unit Value = dropUnit(State, Id);
+  for (size_t I = 0; I < Value.Tasks.size(); ++I) {
+    RunningRecord Record;
+    Record.Task = Value.Tasks[I];
+    Record.Job = Value.Spec.Job;
+    Record.Team = Value.Team;
+    Record.Endpoint = Where[I];
+    Record.Class = Value.Class;
+    Record.Size = Value.Spec.Size;
+    Record.Charged = Value.Spec.Size;
+    Record.Start = Now;
+    Record.Backfill = Backfill;
+    if (Value.Spec.RunTime > Duration(0))
+      Record.End = Now + Value.Spec.RunTime;
+    Out.push_back(
+        {Record.Task, Value.Spec.Attempt, State.Endpoints.info(Where[I]).Id});
+    enterRunning(State, std::move(Record));
+  }
+}
+
+void refreshShares(SchedulerState &State) {
+  if (State.CapacityVersion == State.Endpoints.capacityVersion())
+    return;
+  State.CapacityVersion = State.Endpoints.capacityVersion();
+  State.Teams.setCapacity(State.Endpoints.totalCapacity());
+}
+
+bool isKnownNotToFit(SchedulerState &State, const Resources &Need) {
+  if (State.Failed.RoomVersion != State.Endpoints.roomVersion()) {
+    State.Failed.RoomVersion = State.Endpoints.roomVersion();
+    State.Failed.Sizes.clear();
+  }
+  return std::any_of(State.Failed.Sizes.begin(), State.Failed.Sizes.end(),
+                     [&](const Resources &Size) { return fits(Size, Need); });
+}
+
+void noteNotFitting(SchedulerState &State, const Resources &Need) {
+  auto &Sizes = State.Failed.Sizes;
+  Sizes.erase(
+      std::remove_if(Sizes.begin(), Sizes.end(),
+                     [&](const Resources &Size) { return fits(Need, Size); }),
+      Sizes.end());
+  Sizes.push_back(Need);
+}
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/strategy.cpp
@@ -0,0 +1,17 @@
+#include "teaselwalk/schedule/strategy.hpp"
+
+#include "state_functions.hpp"
+
+#include <array>
+
+namespace teaselwalk::schedule {
+
+const Strategy &strategyOf(Policy Value) {
+  static constexpr std::array<Strategy, 2> Table = {{
+      {Policy::Fair, decideFair, true},
+      {Policy::FirstFitFcfs, decideFirstFitFcfs, false},
+  }};
+  return Table[Value == Policy::Fair ? 0 : 1];
+}
+
+} // namespace teaselwalk::schedule
--- /dev/null
+++ b/src/teaselwalk/schedule/team_table.cpp
@@ -0,0 +1,99 @@
+#include "teaselwalk/schedule/team_table.hpp"
+
+namespace teaselwalk::schedule {
+
+TeamTable::Index TeamTable::findOrAdd(const TeamId &Id) {
+  auto [Found, Added] = Lookup.emplace(Id, static_cast<Index>(Accounts.size()));
+  if (Added) {
+    Accounts.emplace_back();
+    Accounts.back().Id = Id;
+  }
+  return Found->second;
+}
+
+TeamTable::Index TeamTable::update(const TeamId &Id,
+                                   const TeamSettings &Settings) {
+  Index Team = findOrAdd(Id);
+  Accounts[Team].Settings = Settings;
+  Accounts[Team].Present = true;
+  Accounts[Team].BlockedRoom = 0;
+  reorder(Team, shareWith(Team, Resources()));
+  return Team;
+}
+
+void TeamTable::markRemoved(Index Team) { Accounts[Team].Present = false; }
+
+std::optional<TeamTable::Index> TeamTable::find(const TeamId &Id) const {
+  auto Found = Lookup.find(Id);
+  if (Found == Lookup.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+bool TeamTable::allows(Index Team, const Resources &Size, int64_t Count) const {
+  const TeamAccount &Account = Accounts[Team];
+  if (Account.Running + Count > Account.Settings.RunningTasks)
+    return false;
+  for (int64_t Resources::*Field : ResourceFields)
+    if (Size.*Field > 0 && Account.Charged.*Field + Size.*Field * Count >
+                               Account.Settings.Allowance.*Field)
+      return false;
+  return true;
+}
+
+void TeamTable::charge(Index Team, const Resources &Declared,
+                       const Resources &Charged, int64_t Tasks) {
+  TeamAccount &Account = Accounts[Team];
+  Account.Declared += Declared;
+  Account.Charged += Charged;
+  Account.Running += Tasks;
+  Account.BlockedRoom = 0;
+  reorder(Team, shareWith(Team, Resources()));
+}
+
+void TeamTable::queue(Index Team, TaskClass Class, int64_t Units,
+                      int64_t Tasks) {
+  leave(Team);
+  TeamAccount &Account = Accounts[Team];
+  Account.Queued += Tasks;
+  Account.QueuedUnits[static_cast<size_t>(Class)] += Units;
+  Account.BlockedRoom = 0;
+  enter(Team);
+}
+
+void TeamTable::setCapacity(const Resources &Total) {
+  Capacity = Total;
+  for (Index Team = 0; Team < Accounts.size(); ++Team)
+    reorder(Team, shareWith(Team, Resources()));
+}
+
+double TeamTable::shareWith(Index Team, const Resources &Extra) const {
+  const TeamAccount &Account = Accounts[Team];
+  double Weight = Account.Settings.Weight > 0 ? Account.Settings.Weight : 1e-9;
+  return dominantShare(Account.Charged + Extra, Capacity) / Weight;
+}
+
+void TeamTable::reorder(Index Team, double Share) {
+  leave(Team);
+  Accounts[Team].Share = Share;
+  enter(Team);
+}
+
+void TeamTable::enter(Index Team) {
+  const TeamAccount &Account = Accounts[Team];
+  int64_t Others = 0;
+  for (size_t Class = 0; Class < TaskClassCount; ++Class)
+    if (Class != static_cast<size_t>(TaskClass::Urgent))
+      Others += Account.QueuedUnits[Class];
+  if (Account.QueuedUnits[static_cast<size_t>(TaskClass::Urgent)] > 0)
+    Orders[UrgentLane].emplace(Account.Share, Team);
+  if (Others > 0)
+    Orders[OtherLane].emplace(Account.Share, Team);
+}
+
+void TeamTable::leave(Index Team) {
+  for (Order &Which : Orders)
+    Which.erase({Accounts[Team].Share, Team});
+}
+
+} // namespace teaselwalk::schedule
