--- /dev/null
+++ b/src/teaselwalk/schedule/endpoint_health_test.cpp
@@ -0,0 +1,90 @@
+#include "teaselwalk/schedule/endpoint_health.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace teaselwalk::schedule {
+namespace {
+
+const EndpointId Bad("bad");
+
+/// Failures of distinct tasks from two jobs.
+void failFiveTimes(EndpointHealth &Health, const EndpointId &Where,
+                   TimePoint Now) {
+  for (int I = 0; I < 5; ++I)
+    Health.failed(Where, TaskId("t" + std::to_string(I)),
+                  JobId("j" + std::to_string(I % 2)), Now);
+}
+
+// Guards against an endpoint that fails everything and stays in use.
+TEST(EndpointHealthTest, OutForTenSecondsDoublingToFiveMinutes) {
+  EndpointHealth Health;
+  TimePoint Now = timeAt(0);
+  failFiveTimes(Health, Bad, Now);
+  Duration Expected(10000);
+  for (int Round = 0; Round < 8; ++Round) {
+    EXPECT_EQ(Health.nextTrial(), Now + Expected);
+    EXPECT_EQ(Health.state(Bad, Now + Expected - Duration(1)),
+              HealthState::Out);
+    Now += Expected;
+    ASSERT_EQ(Health.state(Bad, Now), HealthState::Trial);
+    Health.trialStarted(Bad, Now);
+    EXPECT_EQ(Health.state(Bad, Now), HealthState::Out);
+    Health.failed(Bad, TaskId("trial"), JobId("trial"), Now);
+    Expected = std::min(Expected * 2, Duration(300000));
+  }
+}
+
+// Guards against an endpoint that recovered and stays out of use.
+TEST(EndpointHealthTest, SuccessfulTrialPutsBackInUse) {
+  EndpointHealth Health;
+  failFiveTimes(Health, Bad, timeAt(0));
+  Health.succeeded(Bad, TaskId("older"), JobId("j0"));
+  EXPECT_EQ(Health.state(Bad, timeAt(1)), HealthState::Out);
+  Health.trialStarted(Bad, timeAt(10000));
+  Health.succeeded(Bad, TaskId("trial"), JobId("j0"));
+  EXPECT_EQ(Health.state(Bad, timeAt(10001)), HealthState::InUse);
+}
+
+// Guards against failures that are not consecutive.
+TEST(EndpointHealthTest, SuccessResetsTheCount) {
+  EndpointHealth Health;
+  for (int I = 0; I < 20; ++I) {
+    Health.failed(Bad, TaskId("t" + std::to_string(I)),
+                  JobId("j" + std::to_string(I)), timeAt(I));
+    if (I % 4 == 3)
+      Health.succeeded(Bad, TaskId("ok"), JobId("ok"));
+  }
+  EXPECT_EQ(Health.state(Bad, timeAt(20)), HealthState::InUse);
+}
+
+// Guards against a faulty job that takes every endpoint out of use.
+TEST(EndpointHealthTest, FaultyJobTakesNoEndpointOut) {
+  EndpointHealth Health;
+  for (int I = 0; I < 200; ++I)
+    Health.failed(EndpointId("e" + std::to_string(I / 10)),
+                  TaskId("faulty/" + std::to_string(I)), JobId("faulty"),
+                  timeAt(I));
+  // One task that is retried everywhere, beside the faulty job.
+  for (int I = 0; I < 20; ++I)
+    for (int Again = 0; Again < 5; ++Again)
+      Health.failed(EndpointId("e" + std::to_string(I)), TaskId("call/1"),
+                    JobId(), timeAt(300));
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(Health.state(EndpointId("e" + std::to_string(I)), timeAt(300)),
+              HealthState::InUse);
+}
+
+// Guards against a faulty endpoint that hides behind a single large job.
+TEST(EndpointHealthTest, OneJobIsEvidenceIfItSucceedsElsewhere) {
+  EndpointHealth Health;
+  Health.succeeded(EndpointId("good"), TaskId("job/0"), JobId("job"));
+  for (int I = 1; I <= 5; ++I)
+    Health.failed(Bad, TaskId("job/" + std::to_string(I)), JobId("job"),
+                  timeAt(I));
+  EXPECT_EQ(Health.state(Bad, timeAt(6)), HealthState::Out);
+}
+
+} // namespace
+} // namespace teaselwalk::schedule
