--- a/include/teaselwalk/engine/action.hpp
+++ b/include/teaselwalk/engine/action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "teaselwalk/base/event_name.hpp"
 #include "teaselwalk/engine/event.hpp"
 
 #include <string>
@@ -83,56 +84,9 @@
   protocol::CallAnswer Answer;
 };
 
-/// Events of the time line.
-enum class EventName {
-  CallAccepted,
-  CallAnswered,
-  CallForwarded,
-  JobAccepted,
-  JobEnded,
-  JobCancelled,
-  TaskStarting,
-  TaskStarted,
-  TaskEnded,
-  TaskUnknown,
-  TaskStopped,
-  EndpointAttached,
-  EndpointUnreachable,
-  ShardAcquired,
-  ShardLost,
-  DocumentApplied,
-  DocumentStale,
-  StoreUnavailable,
-  RequestRefused,
-  DrainStarted,
-};
-
-constexpr std::array<EnumName<EventName>, 20> EventNames = {{
-    {EventName::CallAccepted, "call_accepted"},
-    {EventName::CallAnswered, "call_answered"},
-    {EventName::CallForwarded, "call_forwarded"},
-    {EventName::JobAccepted, "job_accepted"},
-    {EventName::JobEnded, "job_ended"},
-    {EventName::JobCancelled, "job_cancelled"},
-    {EventName::TaskStarting, "task_starting"},
-    {EventName::TaskStarted, "task_started"},
-    {EventName::TaskEnded, "task_ended"},
-    {EventName::TaskUnknown, "task_unknown"},
-    {EventName::TaskStopped, "task_stopped"},
-    {EventName::EndpointAttached, "endpoint_attached"},
-    {EventName::EndpointUnreachable, "endpoint_unreachable"},
-    {EventName::ShardAcquired, "shard_acquired"},
-    {EventName::ShardLost, "shard_lost"},
-    {EventName::DocumentApplied, "document_applied"},
-    {EventName::DocumentStale, "document_stale"},
-    {EventName::StoreUnavailable, "store_unavailable"},
-    {EventName::RequestRefused, "request_refused"},
-    {EventName::DrainStarted, "drain_started"},
-}};
-
 /// One entry for the log and the time line.
 struct RecordEvent {
-  EventName Name = EventName::CallAccepted;
+  EventName Name = EventName::CallReceived;
   std::vector<std::pair<std::string, std::string>> Fields;
 };
 
--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -2,6 +2,8 @@
 
 #include "teaselwalk/base/id.hpp"
 #include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cluster/document_freshness.hpp"
+#include "teaselwalk/cluster/membership.hpp"
 #include "teaselwalk/cluster/shard_ownership.hpp"
 #include "teaselwalk/protocol/vm.hpp"
 #include "teaselwalk/schedule/scheduler_state.hpp"
@@ -37,6 +39,8 @@
   size_t MaxResultBytes = 1024; ///< Kept of a job task's result.
 
   cluster::ShardOwnershipOptions Ownership;
+  cluster::MembershipOptions Membership;
+  cluster::FreshnessOptions Freshness;
   schedule::SchedulerOptions Scheduling;
 };
 
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -11,7 +11,7 @@
 using protocol::StoreStatus;
 
 DocumentKeeper::DocumentKeeper(const EngineOptions &Options, Commands &Out)
-    : Options(Options), Out(Out) {}
+    : Options(Options), Out(Out), Freshness(Options.Freshness) {}
 
 void DocumentKeeper::tick(TimePoint Now) {
   bool Behind = Freshness.newestHeard() > Current.Revision;
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -12,7 +12,7 @@
 Engine::Engine(EngineOptions Given, TimePoint Now)
     : Options(std::move(Given)), Keeper(Options, Out),
       Members(Options.Self, Options.DataCentre, Options.PeerAddress,
-              Options.Seed, Now) {}
+              Options.Seed, Now, Options.Membership) {}
 
 void Engine::handle(const Event &Value, TimePoint Now, Actions &Actions) {
   std::visit([&](const auto &Kind) { on(Kind, Now); }, Value);
@@ -78,7 +78,7 @@
   if (Draining)
     return;
   Draining = true;
-  Out.emit(RecordEvent{EventName::DrainStarted, {}});
+  Out.emit(RecordEvent{EventName::ProcessStopping, {}});
   NextHeartbeat = Now;
 }
 
--- a/src/teaselwalk/engine/engine_calls.cpp
+++ b/src/teaselwalk/engine/engine_calls.cpp
@@ -117,7 +117,7 @@
   if (Worker->openCalls() >= Options.MaxOpenCalls)
     return Refuse(Refusal::Overloaded, "too many open calls", Duration(1000));
   Out.emit(RecordEvent{
-      EventName::CallAccepted,
+      EventName::CallReceived,
       {{"request", Call.Request.Request.str()}, {"team", Call.Team.str()}}});
   schedule::Admission Result = Worker->admitCall(Call, Now);
   if (!Result)
--- a/src/teaselwalk/engine/shard_worker.cpp
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -120,7 +120,7 @@
   Loading = false;
   Loaded = false;
   LoadedAll = false;
-  record(Gained ? EventName::ShardAcquired : EventName::ShardLost,
+  record(Gained ? EventName::AuthorityGained : EventName::AuthorityLost,
          {{"epoch", std::to_string(Owner.epoch().Counter)}});
   if (Gained) {
     NextLoad = Now;
--- a/src/teaselwalk/engine/shard_worker_jobs.cpp
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -222,7 +222,7 @@
     Value.State = AnyFailed ? JobState::Failed : JobState::Finished;
     Value.Dirty = true;
     record(
-        EventName::JobEnded,
+        EventName::JobFinished,
         {{"job", Value.Id.str()},
          {"state", std::string(nameOf(protocol::JobStateNames, Value.State))}});
   }
--- a/src/teaselwalk/engine/shard_worker_run.cpp
+++ b/src/teaselwalk/engine/shard_worker_run.cpp
@@ -224,9 +224,9 @@
   Ledger.erase(Id.Task);
   Queue.ended(Id.Task);
   if (Kind != EndKind::NeverStarted)
-    record(EventName::TaskEnded, {{"task", Id.Task.str()},
-                                  {"endpoint", Ended.Endpoint.str()},
-                                  {"ok", Ok ? "true" : "false"}});
+    record(EventName::TaskFinished, {{"task", Id.Task.str()},
+                                     {"endpoint", Ended.Endpoint.str()},
+                                     {"ok", Ok ? "true" : "false"}});
   if (Ended.Place)
     endJobTask(Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
   else
