cli: commands check, apply, submit, status and cancel

Cause: nobody could check files, put a document into force or submit work.

The table declares each command's row in command_rows.hpp.

--- /dev/null
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "teaselwalk/cli/command.hpp"
+
+/// The rows of the command table, each defined in the file of its command.
+namespace teaselwalk::cli {
+
+extern const Command CheckCommand;
+extern const Command ApplyCommand;
+extern const Command SubmitCommand;
+extern const Command StatusCommand;
+extern const Command CancelCommand;
+
+} // namespace teaselwalk::cli
