--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -5,6 +5,7 @@
 /// The rows of the command table, each defined in the file of its command.
 namespace teaselwalk::cli {
 
+extern const Command BenchCommand;
 extern const Command CheckCommand;
 extern const Command ApplyCommand;
 extern const Command SubmitCommand;
