engine: tests in virtual time over the stand-ins

Cause: the engine had no tests. Change: a small world of engines, store, VM list and endpoints with delayed and lost messages; 15 tests of calls, keys, data centre states, jobs, takeover, lost answers, drain and cancellation. An endpoint refuses an attempt that was stopped before it arrived.

--- a/include/teaselwalk/endpoints/endpoint_client.hpp
+++ b/include/teaselwalk/endpoints/endpoint_client.hpp
@@ -13,9 +13,6 @@
 /// The task runs; its result comes with a later state.
 struct Started {};
 
-/// The stop command was taken.
-struct Stopped {};
-
 /// The endpoint has no room; the task was not started.
 struct NoRoom {};
 
@@ -26,8 +23,8 @@
 };
 
 using Answer =
-    std::variant<protocol::EndpointState, protocol::RunResult, Started, Stopped,
-                 protocol::StaleEpoch, NoRoom, Failed>;
+    std::variant<protocol::EndpointState, protocol::RunResult, Started,
+                 protocol::StopResult, protocol::StaleEpoch, NoRoom, Failed>;
 
 // Classify the end of an exchange. An answer that is malformed, or that does
 // not belong to the command, leaves open whether the command took effect.
@@ -48,7 +45,7 @@
 
   // Thread-safe. Attach and renew yield EndpointState, StaleEpoch or Failed;
   // run yields Started, RunResult, NoRoom, StaleEpoch or Failed; stop yields
-  // Stopped, StaleEpoch or Failed.
+  // StopResult, StaleEpoch or Failed.
   void send(const protocol::Address &At, const protocol::AttachCommand &Command,
             Duration Timeout, Callback Done) const;
   void send(const protocol::Address &At, const protocol::RunCommand &Command,
--- a/include/teaselwalk/fakes/endpoint_model.hpp
+++ b/include/teaselwalk/fakes/endpoint_model.hpp
@@ -75,8 +75,7 @@
     std::variant<RunStarted, RunDuplicate, RunForgotten, RunRefused,
                  protocol::RunResult, protocol::StaleEpoch>;
 using StateAnswer = std::variant<protocol::EndpointState, protocol::StaleEpoch>;
-/// Nothing if the command was taken.
-using StopAnswer = std::optional<protocol::StaleEpoch>;
+using StopAnswer = std::variant<protocol::StopResult, protocol::StaleEpoch>;
 
 /// An endpoint in memory. A command with a higher epoch than the one held
 /// counts as an attach, so that an endpoint that lost its state on a restart
--- a/src/teaselwalk/endpoints/answer_json.cpp
+++ b/src/teaselwalk/endpoints/answer_json.cpp
@@ -91,6 +91,10 @@
   return parse<protocol::RunResult>(Body, isObject);
 }
 
+std::optional<protocol::StopResult> parseStop(const std::string &Body) {
+  return parse<protocol::StopResult>(Body, isObject);
+}
+
 std::optional<protocol::StaleEpoch> parseStaleEpoch(const std::string &Body) {
   return parse<protocol::StaleEpoch>(Body, hasEpoch);
 }
--- a/src/teaselwalk/endpoints/answer_json.hpp
+++ b/src/teaselwalk/endpoints/answer_json.hpp
@@ -11,6 +11,7 @@
 
 std::optional<protocol::EndpointState> parseState(const std::string &Body);
 std::optional<protocol::RunResult> parseResult(const std::string &Body);
+std::optional<protocol::StopResult> parseStop(const std::string &Body);
 std::optional<protocol::StaleEpoch> parseStaleEpoch(const std::string &Body);
 
 } // namespace teaselwalk::endpoints
--- a/src/teaselwalk/endpoints/endpoint_client.cpp
+++ b/src/teaselwalk/endpoints/endpoint_client.cpp
@@ -92,7 +92,8 @@
 
 Answer toAnswer(const StopCommand &, const http::Result &Outcome) {
   if (hasStatus(Outcome, 200))
-    return Stopped();
+    if (auto Result = parseStop(Outcome.Message.Body))
+      return *Result;
   return commonAnswer(Outcome);
 }
 
--- /dev/null
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -0,0 +1,293 @@
+#include "world_test.hpp"
+
+#include <gtest/gtest.h>
+
+namespace teaselwalk::engine {
+namespace {
+
+using protocol::JobKind;
+using protocol::JobState;
+using protocol::Refusal;
+
+protocol::JobSpec makeSpec(JobKind Kind, uint32_t Tasks, int64_t RunMs) {
+  protocol::JobSpec Spec;
+  Spec.Name = "test";
+  Spec.Kind = Kind;
+  Spec.Queue = QueueId(Kind == JobKind::Service ? "watch" : "batch");
+  Spec.Tasks = Tasks;
+  Spec.Size = {1000, 1000, 0, 1, 1};
+  Spec.RunTime = Duration(RunMs);
+  return Spec;
+}
+
+/// The latest state of \p Job as a caller sees it at \p Process.
+protocol::JobStatus statusOf(World &W, size_t Process, const JobId &Job) {
+  Token Asked = W.query(Process, Job);
+  W.runUntil([&] { return W.StatusAnswers.count(Asked) != 0; }, Duration(3000));
+  return W.StatusAnswers[Asked].Status;
+}
+
+bool jobEnds(World &W, size_t Process, const JobId &Job, Duration Limit) {
+  TimePoint End = W.now() + Limit;
+  while (W.now() < End) {
+    if (isEnded(statusOf(W, Process, Job).State))
+      return true;
+    W.runFor(Duration(200));
+  }
+  return false;
+}
+
+/// The process that has authority over \p Shard.
+size_t ownerOf(const World &W, uint32_t Shard) {
+  for (size_t I = 0; I < W.Processes.size(); ++I) {
+    if (!W.Processes[I].Core)
+      continue;
+    for (uint32_t Held : W.Processes[I].Core->heartbeat(W.now()).Shards)
+      if (Held == Shard)
+        return I;
+  }
+  return W.Processes.size();
+}
+
+// Guards against a path that loses or mixes up answers.
+TEST(EngineTest, CallsReceiveTheirOwnResults) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  std::vector<Token> Asked;
+  for (int I = 0; I < 40; ++I)
+    Asked.push_back(W.call(
+        static_cast<size_t>(I % 2),
+        R"({"run_ms":30,"result":"answer-)" + std::to_string(I) + "\"}", true));
+  W.runFor(Duration(3000));
+  for (int I = 0; I < 40; ++I) {
+    const protocol::CallAnswer &Got = W.CallAnswers[Asked[I]];
+    EXPECT_EQ(Got.Outcome, Verdict::Ran) << Got.Message;
+    EXPECT_EQ(Got.Result, "answer-" + std::to_string(I));
+  }
+  W.expectNoOverlap();
+}
+
+// Guards against work accepted without a valid key or for a foreign queue.
+TEST(EngineTest, UnknownKeyIsRefused) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Bad = W.call(0, "x", true, Duration(500), "blue-1.wrong");
+  Token None = W.call(0, "x", true, Duration(500), "");
+  W.runFor(Duration(1000));
+  EXPECT_EQ(W.CallAnswers[Bad].Reason, Refusal::UnknownKey);
+  EXPECT_EQ(W.CallAnswers[Bad].Outcome, Verdict::NotRun);
+  EXPECT_EQ(W.CallAnswers[None].Reason, Refusal::UnknownKey);
+  EXPECT_TRUE(W.runs().empty());
+}
+
+// Guards against a withdrawn key that works for longer than 3 s.
+TEST(EngineTest, WithdrawnKeyStopsWorking) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  config::Document Next = W.document();
+  Next.Teams[0].Keys.clear();
+  W.applyDocument(Next);
+  W.runFor(Duration(3000));
+  for (size_t I = 0; I < W.Processes.size(); ++I) {
+    Token Asked = W.call(I, "x", true);
+    W.runFor(Duration(100));
+    EXPECT_EQ(W.CallAnswers[Asked].Reason, Refusal::UnknownKey);
+  }
+}
+
+// Guards against tasks that start in a data centre that was taken out.
+TEST(EngineTest, DataCentreOutStartsNothing) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  config::Document Next = W.document();
+  Next.DataCentres[0].State = config::DataCentreState::Out;
+  // A second data centre, since the last one cannot be taken out.
+  config::DataCentre Other = Next.DataCentres[0];
+  Other.Name = DataCentreId("other");
+  Other.State = config::DataCentreState::In;
+  Next.DataCentres.push_back(Other);
+  W.applyDocument(Next);
+  W.runFor(Duration(3000));
+  size_t Before = W.runs().size();
+  Token Asked = W.call(0, "x", true);
+  W.runFor(Duration(1000));
+  EXPECT_EQ(W.CallAnswers[Asked].Reason, Refusal::DataCentreOut);
+  EXPECT_EQ(W.runs().size(), Before);
+}
+
+// Guards against work that starts on a configuration that may be withdrawn.
+TEST(EngineTest, StaleDocumentStartsNothing) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.StoreDown = true;
+  W.runFor(Duration(4000));
+  Token Asked = W.call(0, "x", true);
+  W.runFor(Duration(500));
+  EXPECT_EQ(W.CallAnswers[Asked].Reason, Refusal::StaleDocument);
+  W.StoreDown = false;
+  W.runFor(Duration(3000));
+  Token Again = W.call(0, "x", true);
+  W.runFor(Duration(500));
+  EXPECT_EQ(W.CallAnswers[Again].Outcome, Verdict::Ran);
+}
+
+// Guards against tasks of a batch that are lost or run twice.
+TEST(EngineTest, BatchRunsEveryTaskOnce) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 30, 500), "job-1");
+  W.runFor(Duration(200));
+  ASSERT_EQ(W.JobAnswers[Sent].Reason, Refusal::None)
+      << W.JobAnswers[Sent].Message;
+  JobId Job = W.JobAnswers[Sent].Job;
+  EXPECT_TRUE(jobEnds(W, 0, Job, Duration(20000)));
+  EXPECT_EQ(statusOf(W, 0, Job).State, JobState::Finished);
+  auto Runs = W.runs();
+  EXPECT_EQ(Runs.size(), 30U);
+  for (const auto &Row : Runs)
+    EXPECT_EQ(Row.second.size(), 1U) << Row.first;
+}
+
+// Guards against a repeated submission that becomes a second job.
+TEST(EngineTest, RepeatedSubmissionNamesTheSameJob) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token First = W.submit(0, makeSpec(JobKind::Batch, 3, 100), "same");
+  W.runFor(Duration(500));
+  Token Second = W.submit(1, makeSpec(JobKind::Batch, 3, 100), "same");
+  W.runFor(Duration(5000));
+  EXPECT_EQ(W.JobAnswers[First].Job, W.JobAnswers[Second].Job);
+  EXPECT_EQ(W.runs().size(), 3U);
+}
+
+// Guards against a gang that runs with a part of its tasks.
+TEST(EngineTest, GangStartsTogether) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.submit(0, makeSpec(JobKind::Gang, 12, 2000), "gang");
+  W.runFor(Duration(6000));
+  auto Runs = W.runs();
+  ASSERT_EQ(Runs.size(), 12U);
+  TimePoint First = TimePoint::max();
+  TimePoint Last = TimePoint::min();
+  for (const auto &Row : Runs) {
+    ASSERT_EQ(Row.second.size(), 1U);
+    First = std::min(First, Row.second[0].Start);
+    Last = std::max(Last, Row.second[0].Start);
+  }
+  EXPECT_LE(Last - First, Duration(100));
+}
+
+// Guards against an accepted job that dies with the process that accepted it.
+TEST(EngineTest, JobSurvivesTheDeathOfItsOwner) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 40, 3000), "job-1");
+  W.runFor(Duration(1500));
+  ASSERT_EQ(W.JobAnswers[Sent].Reason, Refusal::None);
+  JobId Job = W.JobAnswers[Sent].Job;
+  size_t Owner = ownerOf(W, homeOf(Job)->Number);
+  ASSERT_LT(Owner, W.Processes.size());
+  W.killProcess(Owner);
+  EXPECT_TRUE(jobEnds(W, 1 - Owner, Job, Duration(60000)));
+  W.expectNoOverlap();
+  auto Runs = W.runs();
+  EXPECT_EQ(Runs.size(), 40U);
+  for (const auto &Row : Runs)
+    EXPECT_EQ(Row.second.size(), 1U) << Row.first;
+}
+
+// Guards against a paused owner that acts after it was replaced.
+TEST(EngineTest, PausedOwnerDoesNotStartTasksAfterWaking) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 60, 3000), "job-1");
+  W.runFor(Duration(1500));
+  JobId Job = W.JobAnswers[Sent].Job;
+  size_t Owner = ownerOf(W, homeOf(Job)->Number);
+  ASSERT_LT(Owner, W.Processes.size());
+  W.pauseProcess(Owner);
+  W.runFor(Duration(20000));
+  W.resumeProcess(Owner);
+  EXPECT_TRUE(jobEnds(W, 1 - Owner, Job, Duration(60000)));
+  W.expectNoOverlap();
+  for (const auto &Row : W.runs())
+    EXPECT_EQ(Row.second.size(), 1U) << Row.first;
+}
+
+// Guards against a start that is repeated although only its answer was lost.
+TEST(EngineTest, LostRunAnswerIsResolved) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.LoseRunAnswers = 5;
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 10, 6000), "job-1");
+  W.runFor(Duration(1000));
+  EXPECT_TRUE(jobEnds(W, 0, W.JobAnswers[Sent].Job, Duration(60000)));
+  W.expectNoOverlap();
+}
+
+// Guards against a non-idempotent call that runs again after a lost answer.
+TEST(EngineTest, NonIdempotentCallRunsAtMostOnce) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.LoseRunAnswers = 10;
+  std::vector<Token> Asked;
+  for (int I = 0; I < 10; ++I)
+    Asked.push_back(W.call(0, R"({"run_ms":10})", false, Duration(500)));
+  W.runFor(Duration(5000));
+  for (Token Id : Asked)
+    EXPECT_EQ(W.CallAnswers[Id].Outcome, Verdict::MayHaveRun);
+  for (const auto &Row : W.runs())
+    EXPECT_LE(Row.second.size(), 1U);
+}
+
+// Guards against a job that is refused although its record was written.
+TEST(EngineTest, LostStoreAnswersAreReadBack) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.LoseStoreAnswers = 2;
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 4, 100), "job-1");
+  W.runFor(Duration(1000));
+  ASSERT_EQ(W.JobAnswers[Sent].Reason, Refusal::None);
+  EXPECT_TRUE(jobEnds(W, 0, W.JobAnswers[Sent].Job, Duration(20000)));
+  EXPECT_EQ(W.runs().size(), 4U);
+}
+
+// Guards against a shutdown that cuts off requests or loses shards for long.
+TEST(EngineTest, DrainAnswersOpenCallsAndHandsOver) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  std::vector<Token> Asked;
+  for (int I = 0; I < 8; ++I)
+    Asked.push_back(W.call(0, R"({"run_ms":800})", false));
+  W.runFor(Duration(50));
+  W.drainProcess(0);
+  Token Late = W.call(0, "x", true);
+  EXPECT_TRUE(
+      W.runUntil([&] { return W.Processes[0].Core->isDrained(W.now()); },
+                 Duration(20000)));
+  for (Token Id : Asked)
+    EXPECT_EQ(W.CallAnswers[Id].Outcome, Verdict::Ran);
+  EXPECT_EQ(W.CallAnswers[Late].Reason, Refusal::ShuttingDown);
+  W.killProcess(0);
+  EXPECT_TRUE(W.settle());
+}
+
+// Guards against a cancelled job that goes on.
+TEST(EngineTest, CancelledJobStops) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Service, 3, 0), "svc");
+  W.runFor(Duration(1500));
+  JobId Job = W.JobAnswers[Sent].Job;
+  ASSERT_EQ(W.runs().size(), 3U);
+  size_t Owner = ownerOf(W, homeOf(Job)->Number);
+  Token Asked = W.cancel(Owner, Job);
+  W.runFor(Duration(3000));
+  EXPECT_EQ(W.StatusAnswers[Asked].Status.State, JobState::Cancelled);
+  for (const auto &Row : W.Endpoints)
+    EXPECT_EQ(Row.second->inUse(), Resources());
+}
+
+} // namespace
+} // namespace teaselwalk::engine
--- a/src/teaselwalk/fakes/endpoint_model.cpp
+++ b/src/teaselwalk/fakes/endpoint_model.cpp
@@ -86,17 +86,25 @@
   advance(Now);
   if (!accept(Command.Owner))
     return StaleEpoch{Held};
-  std::vector<Key> Matching;
-  for (const auto &[Id, Value] : Tasks)
-    if (Value.Command.Id.Task == Command.Task)
-      Matching.push_back(Id);
-  for (const Key &Id : Matching) {
-    if (Command.Mode == StopMode::Stop)
-      end(Id, Now, RunEnd::Stopped);
+  Key Id = keyOf(Command.Id);
+  auto Found = Tasks.find(Id);
+  if (Found != Tasks.end()) {
     if (Command.Mode == StopMode::Throttle)
-      Tasks.at(Id).Throttled = true;
+      Found->second.Throttled = true;
+    if (Command.Mode != StopMode::Stop)
+      return protocol::StopResult{protocol::StopState::Continues};
+    end(Id, Now, RunEnd::Stopped);
+    return protocol::StopResult{protocol::StopState::Stopped};
   }
-  return std::nullopt;
+  if (Retained.count(Id) > 0)
+    return protocol::StopResult{protocol::StopState::Finished};
+  if (Past.count(Id) > 0)
+    return protocol::StopResult{protocol::StopState::Stopped};
+  if (Command.Mode != StopMode::Stop || Options.Plain)
+    return protocol::StopResult{protocol::StopState::Continues};
+  // A run command for this attempt that arrives later has no effect.
+  Past.insert(Id);
+  return protocol::StopResult{protocol::StopState::NeverStarted};
 }
 
 void EndpointModel::advance(TimePoint Now) {
--- a/src/teaselwalk/fakes/endpoint_model_test.cpp
+++ b/src/teaselwalk/fakes/endpoint_model_test.cpp
@@ -48,7 +48,8 @@
   ASSERT_TRUE(runs<RunStarted>(commandOf("j/0", 0), 0));
   Model.attach({Second}, timeAt(1));
   EXPECT_TRUE(runs<StaleEpoch>(commandOf("j/1", 0), 2));
-  EXPECT_TRUE(Model.stop({First, TaskId("j/0"), StopMode::Stop}, timeAt(2)));
+  EXPECT_TRUE(std::holds_alternative<StaleEpoch>(
+      Model.stop({First, {TaskId("j/0"), 1}, StopMode::Stop}, timeAt(2))));
   auto Answer = Model.renew({First, Duration(90000), {{TaskId("j/0"), 1}}, {}},
                             timeAt(3));
   EXPECT_EQ(std::get<StaleEpoch>(Answer).Owner, Second);
@@ -122,14 +123,27 @@
   Model.run(commandOf("j/0", 0), timeAt(0));
   EXPECT_EQ(stateAt(999).Tasks[0].Usage, Resources());
   EXPECT_EQ(stateAt(1000).Tasks[0].Usage.MilliCpu, 600);
-  Model.stop({First, TaskId("j/0"), StopMode::Checkpoint}, timeAt(1001));
-  Model.stop({First, TaskId("j/0"), StopMode::Throttle}, timeAt(1001));
+  Model.stop({First, {TaskId("j/0"), 1}, StopMode::Checkpoint}, timeAt(1001));
+  Model.stop({First, {TaskId("j/0"), 1}, StopMode::Throttle}, timeAt(1001));
   EXPECT_EQ(stateAt(1002).Tasks[0].Usage.MilliCpu, 300);
-  Model.stop({First, TaskId("j/0"), StopMode::Stop}, timeAt(1003));
+  Model.stop({First, {TaskId("j/0"), 1}, StopMode::Stop}, timeAt(1003));
   EXPECT_TRUE(stateAt(1003).Tasks.empty());
   EXPECT_EQ(Model.log()[0].Ended, RunEnd::Stopped);
 }
 
+// Guards against a delayed run command that starts a task which its owner has
+// already started elsewhere.
+TEST_F(EndpointModelTest, StoppedAttemptNeverStartsLater) {
+  auto Stop = [&](int64_t Ms) {
+    auto Answer =
+        Model.stop({First, {TaskId("j/0"), 1}, StopMode::Stop}, timeAt(Ms));
+    return std::get<protocol::StopResult>(Answer).State;
+  };
+  EXPECT_EQ(Stop(0), protocol::StopState::NeverStarted);
+  EXPECT_TRUE(runs<RunForgotten>(commandOf("j/0", 0), 1));
+  EXPECT_TRUE(Model.log().empty());
+}
+
 // Guards against tests that rely on the extensions without noticing.
 TEST_F(EndpointModelTest, PlainHasNeitherEpochsNorResults) {
   Model.options().Plain = true;
--- a/src/teaselwalk/fakes/fake_endpoint.cpp
+++ b/src/teaselwalk/fakes/fake_endpoint.cpp
@@ -36,6 +36,12 @@
   return {200, json(std::get<protocol::EndpointState>(Value)).dump()};
 }
 
+http::Response toHttp(const StopAnswer &Value) {
+  if (const auto *Stale = std::get_if<StaleEpoch>(&Value))
+    return toHttp(*Stale);
+  return {200, json(std::get<protocol::StopResult>(Value)).dump()};
+}
+
 /// The answer to a run command that is not kept waiting for the task's end.
 struct RunResponse {
   http::Response operator()(const RunStarted &) const { return {202, "{}"}; }
@@ -114,8 +120,8 @@
       Answer.send(
           toHttp(Model.renew(commandOf<protocol::RenewCommand>(Message), Now)));
     } else if (Path == "/stop") {
-      auto Stale = Model.stop(commandOf<protocol::StopCommand>(Message), Now);
-      Answer.send(Stale ? toHttp(*Stale) : http::Response{200, "{}"});
+      Answer.send(
+          toHttp(Model.stop(commandOf<protocol::StopCommand>(Message), Now)));
     } else if (Path == "/run") {
       run(Message, std::move(Answer));
     } else {
--- a/src/teaselwalk/fakes/loopback_test.cpp
+++ b/src/teaselwalk/fakes/loopback_test.cpp
@@ -254,8 +254,8 @@
   Huge.Size.Accelerators = 1;
   EXPECT_TRUE(is<endpoints::NoRoom>(command(Huge, Port)));
   Epoch Owner = Service.Owner;
-  EXPECT_TRUE(is<endpoints::Stopped>(
-      command(protocol::StopCommand{Owner, TaskId("s/0")}, Port)));
+  EXPECT_TRUE(is<protocol::StopResult>(
+      command(protocol::StopCommand{Owner, Service.Id}, Port)));
   auto State = command(protocol::RenewCommand{Owner, Duration(30000)}, Port);
   ASSERT_TRUE(is<EndpointState>(State));
   EXPECT_TRUE(std::get<EndpointState>(State).Tasks.empty());
