peers: JSON-RPC between entry processes

Cause: entry processes exchange heartbeats, forwarded calls and answers.

The transport is `http::Server` and `http::Client`. No method waits for work: `call` returns whether the call was taken, and the answer is a message in the other direction. Messages that wait for the same peer travel as one batch. Each message carries a hybrid logical clock value.

--- /dev/null
+++ b/src/teaselwalk/peers/peers_test.cpp
@@ -0,0 +1,225 @@
+#include "teaselwalk/peers/client.hpp"
+#include "teaselwalk/peers/server.hpp"
+
+#include "teaselwalk/http/server.hpp"
+#include "teaselwalk/runtime/bounded_ring.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+namespace teaselwalk::peers {
+namespace {
+
+using protocol::Address;
+using protocol::Delivery;
+
+CallMessage makeCall(uint64_t Token) {
+  CallMessage Out;
+  Out.Token = Token;
+  Out.Call.Call.Request = RequestId("r" + std::to_string(Token));
+  Out.Call.Call.Key = "k";
+  Out.Call.Call.Queue = QueueId("q");
+  Out.Call.Call.Size = {100, 64, 0, 1, 1};
+  Out.Call.Call.Payload = "p\"\n\u00e9";
+  return Out;
+}
+
+/// A peer: server, client and the messages that it received.
+class Peer {
+public:
+  explicit Peer(const std::string &Name, size_t RingSize = 4096,
+                ClientOptions Options = {})
+      : Received(RingSize), Timeline(ProcessId(Name), 100),
+        Server(
+            {}, [this](Envelope E) { return Received.tryPush(std::move(E)); },
+            Timeline, Registry),
+        Client(Options, ProcessId(Name), address(), Timeline, Registry) {
+    Threads.emplace_back([this] { Server.run(); });
+    Threads.emplace_back([this] { Client.runSender(); });
+    Threads.emplace_back([this] { Client.runTransport(); });
+  }
+
+  ~Peer() {
+    Client.stop();
+    Server.stop();
+    for (std::thread &Thread : Threads)
+      Thread.join();
+  }
+
+  Address address() const { return {"127.0.0.1", Server.port()}; }
+
+  std::future<SendResult> send(const Address &To, Message Content,
+                               Duration Timeout = Duration(10000)) {
+    auto Slot = std::make_shared<std::promise<SendResult>>();
+    auto Future = Slot->get_future();
+    if (!Client.send(To, std::move(Content), Timeout,
+                     [Slot](const SendResult &R) { Slot->set_value(R); }))
+      Slot->set_value({Delivery::NotSent, false, "ring is full"});
+    return Future;
+  }
+
+  Envelope next() { return Received.pop().value(); }
+
+  runtime::BoundedRing<Envelope> Received;
+  runtime::TimelineBuffer Timeline;
+  runtime::Metrics Registry;
+  PeerServer Server;
+  PeerClient Client;
+  std::vector<std::thread> Threads;
+};
+
+/// Accepts requests and never answers them.
+class SilentServer {
+public:
+  SilentServer()
+      : Server({}, [this](const http::Request &, const http::Responder &R) {
+          Kept.push_back(R);
+        }) {
+    Thread = std::thread([this] { Server.run(); });
+  }
+
+  ~SilentServer() {
+    Server.stop();
+    Thread.join();
+  }
+
+  Address address() const { return {"127.0.0.1", Server.port()}; }
+
+private:
+  std::vector<http::Responder> Kept;
+  http::Server Server;
+  std::thread Thread;
+};
+
+// Guards against fields lost between processes.
+TEST(PeersTest, CallAndAnswerTravelAsSeparateMessages) {
+  Peer A("a");
+  Peer B("b");
+  SendResult Sent = A.send(B.address(), makeCall(7)).get();
+  EXPECT_EQ(Sent.State, Delivery::Answered);
+  EXPECT_TRUE(Sent.Taken) << Sent.Error;
+  Envelope Seen = B.next();
+  EXPECT_EQ(Seen.From, ProcessId("a"));
+  EXPECT_EQ(Seen.ReplyTo, A.address());
+  auto &Call = std::get<CallMessage>(Seen.Content);
+  EXPECT_EQ(Call.Call.Call.Payload, "p\"\n\u00e9");
+  EXPECT_EQ(Call.Call.Call.Size, (Resources{100, 64, 0, 1, 1}));
+
+  AnswerMessage Answer;
+  Answer.Token = Call.Token;
+  Answer.Answer.Request = Call.Call.Call.Request;
+  Answer.Answer.Outcome = Verdict::Ran;
+  Answer.Answer.Result = "out";
+  EXPECT_TRUE(B.send(Seen.ReplyTo, Answer).get().Taken);
+  auto Back = std::get<AnswerMessage>(A.next().Content);
+  EXPECT_EQ(Back.Token, 7U);
+  EXPECT_EQ(Back.Answer.Request, RequestId("r7"));
+  EXPECT_EQ(Back.Answer.Result, "out");
+}
+
+// Guards against fields of the other messages lost between processes.
+TEST(PeersTest, OtherMessagesRoundTrip) {
+  Peer A("a");
+  HeartbeatMessage Beat;
+  Beat.Beat.From = ProcessId("a");
+  Beat.Beat.Shards = {1, 2};
+  Beat.Beat.Attestations = {{ProcessId("w"), UINT64_MAX, Duration(3)}};
+  EXPECT_TRUE(A.send(A.address(), Beat).get().Taken);
+  auto Seen = std::get<HeartbeatMessage>(A.next().Content).Beat;
+  EXPECT_EQ(Seen.Shards, Beat.Beat.Shards);
+  EXPECT_EQ(Seen.Attestations.at(0).Revision, UINT64_MAX);
+  EXPECT_TRUE(A.send(A.address(), DigestMessage{"{}"}).get().Taken);
+  EXPECT_EQ(std::get<DigestMessage>(A.next().Content).Text, "{}");
+  EXPECT_TRUE(A.send(A.address(), ProposeMessage{5, "p"}).get().Taken);
+  EXPECT_EQ(std::get<ProposeMessage>(A.next().Content).Token, 5U);
+  EXPECT_TRUE(A.send(A.address(), OutcomeMessage{5, "o"}).get().Taken);
+  EXPECT_EQ(std::get<OutcomeMessage>(A.next().Content).Text, "o");
+}
+
+// Guards against a call taken for "may have run" that no process received.
+TEST(PeersTest, PeerThatIsDownIsNotSent) {
+  Address Closed;
+  {
+    Peer B("b");
+    Closed = B.address();
+  }
+  Peer A("a");
+  EXPECT_EQ(A.send(Closed, makeCall(1)).get().State, Delivery::NotSent);
+}
+
+// Guards against a call reported as not sent that the peer may have, and
+// against a silent peer that delays messages to others.
+TEST(PeersTest, SilentPeerIsLostAndDelaysNoOther) {
+  SilentServer Silent;
+  Peer B("b");
+  Peer A("a");
+  auto First = A.send(Silent.address(), makeCall(1), Duration(1000));
+  EXPECT_TRUE(A.send(B.address(), makeCall(2)).get().Taken);
+  EXPECT_EQ(First.wait_for(std::chrono::seconds(0)),
+            std::future_status::timeout);
+  EXPECT_EQ(First.get().State, Delivery::Lost);
+}
+
+// Guards against a full engine that is reported as having the call (I7).
+TEST(PeersTest, FullRingOfThePeerIsNotTaken) {
+  Peer A("a");
+  Peer B("b", 1);
+  EXPECT_TRUE(A.send(B.address(), makeCall(1)).get().Taken);
+  SendResult Second = A.send(B.address(), makeCall(2)).get();
+  EXPECT_EQ(Second.State, Delivery::Answered);
+  EXPECT_FALSE(Second.Taken);
+}
+
+// Guards against results given to the wrong message of a batch.
+TEST(PeersTest, ManyMessagesAreBatchedAndEachHasItsResult) {
+  constexpr size_t Count = 500;
+  constexpr size_t RingSize = 300;
+  Peer A("a");
+  Peer B("b", RingSize);
+  std::vector<std::future<SendResult>> Results;
+  for (size_t I = 0; I < Count; ++I)
+    Results.push_back(A.send(B.address(), makeCall(I)));
+  std::vector<bool> Taken(Count);
+  for (size_t I = 0; I < Count; ++I)
+    Taken[I] = Results[I].get().Taken;
+  EXPECT_EQ(std::count(Taken.begin(), Taken.end(), true), RingSize);
+  for (size_t I = 0; I < RingSize; ++I)
+    EXPECT_TRUE(Taken[std::get<CallMessage>(B.next().Content).Token]);
+}
+
+// Guards against unbounded memory for a peer that does not answer.
+TEST(PeersTest, RingOfAPeerIsBounded) {
+  SilentServer Silent;
+  ClientOptions Options;
+  Options.MaxWaitingPerPeer = 4;
+  Options.MaxRequestsPerPeer = 1;
+  Peer A("a", 16, Options);
+  int Refused = 0;
+  constexpr int Count = 500;
+  std::vector<std::future<SendResult>> Results;
+  Results.reserve(Count);
+  for (int I = 0; I < Count; ++I)
+    Results.push_back(A.send(Silent.address(), makeCall(1), Duration(100)));
+  for (auto &Result : Results)
+    Refused += Result.get().Error == "ring is full" ? 1 : 0;
+  EXPECT_GE(Refused, 1);
+}
+
+// Guards against effects shown before their cause on the timeline.
+TEST(PeersTest, ClockTravelsWithMessages) {
+  Peer A("a");
+  Peer B("b");
+  A.Timeline.observe({runtime::wallMillis() + 60000, 0}, runtime::wallMillis());
+  A.Timeline.add(runtime::EventName::CallForwarded, {}, runtime::wallMillis());
+  EXPECT_TRUE(A.send(B.address(), makeCall(1)).get().Taken);
+  B.Timeline.add(runtime::EventName::CallReceived, {}, runtime::wallMillis());
+  auto Merged = runtime::mergeTimelines(
+      {B.Timeline.after(0, 10), A.Timeline.after(0, 10)});
+  ASSERT_EQ(Merged.size(), 2U);
+  EXPECT_EQ(Merged[0].Name, "call_forwarded");
+}
+
+} // namespace
+} // namespace teaselwalk::peers
