entry, cli: the entry process and the serve command

Cause: the engine had no process around it. Change: servers, clients and engine as duties joined by rings; heartbeats are echoed so that ages count from the receiver's own clock; command serve. Conclusion: the whole path can be tried with the stand-ins.

--- a/include/teaselwalk/engine/engine.hpp
+++ b/include/teaselwalk/engine/engine.hpp
@@ -51,7 +51,6 @@
   void on(const StoreReplied &Event, TimePoint Now);
   void on(const VmListReceived &Event, TimePoint Now);
   void on(const HeartbeatReceived &Event, TimePoint Now);
-  void on(const HeartbeatAnswered &Event, TimePoint Now);
   void on(const PeerCallReceived &Event, TimePoint Now);
   void on(const PeerCallAnswered &Event, TimePoint Now);
   void on(const PeerCallFailed &Event, TimePoint Now);
@@ -82,6 +81,7 @@
   void updateWishes(TimePoint Now);
   void updateStarts(TimePoint Now);
   void sendHeartbeats(TimePoint Now);
+  void takeEcho(const protocol::Heartbeat &Beat, TimePoint Now);
   void advanceDrain(TimePoint Now);
   config::DataCentreState ownState() const;
 
--- a/include/teaselwalk/entry/engine_loop.hpp
+++ b/include/teaselwalk/entry/engine_loop.hpp
@@ -6,7 +6,6 @@
 
 #include <atomic>
 #include <functional>
-#include <mutex>
 
 namespace teaselwalk::entry {
 
@@ -29,9 +28,6 @@
   void run();
   void stop();
 
-  /// The own heartbeat as of the last tick, with its ages brought up to
-  /// \p Now. Thread-safe.
-  protocol::Heartbeat heartbeat(TimePoint Now) const;
   bool isReady() const { return Ready; }
   bool isDrained() const { return Drained; }
 
@@ -52,9 +48,6 @@
   engine::Actions Steps;
   std::atomic<bool> Ready{false};
   std::atomic<bool> Drained{false};
-  mutable std::mutex Mutex;
-  protocol::Heartbeat Beat;
-  TimePoint BeatAt;
 };
 
 } // namespace teaselwalk::entry
--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -5,10 +5,9 @@
 namespace teaselwalk::cli {
 
 const std::vector<Command> &commands() {
-  // Each row is declared in the file of its command: X_command.cpp.
   static const std::vector<Command> Table = {
-      CheckCommand,  ApplyCommand, SubmitCommand,
-      StatusCommand, CancelCommand, BenchCommand,
+      ServeCommand,  CheckCommand,  ApplyCommand, SubmitCommand,
+      StatusCommand, CancelCommand, FakeCommand,  BenchCommand,
   };
   return Table;
 }
