--- a/src/teaselwalk/cli/cli_test.cpp
+++ b/src/teaselwalk/cli/cli_test.cpp
@@ -246,6 +246,18 @@
   EXPECT_NE(Out.Text.find("share changed"), std::string::npos);
 }
 
+// Guards against a key whose text does not match its hash, or two equal keys.
+TEST_F(CliTest, KeyPrintsTextAndHash) {
+  Outcome First = runWords({"key", "north-1"});
+  size_t Break = First.Text.find('\n');
+  std::string Text = First.Text.substr(0, Break);
+  Json Row = Json::parse(First.Text.substr(Break + 1));
+  EXPECT_EQ(Text.substr(0, 8), "north-1.");
+  EXPECT_TRUE(config::matches({Row["salt"], Row["hash"]}, Text.substr(8)));
+  EXPECT_NE(runWords({"key", "north-1"}).Text, First.Text);
+  EXPECT_EQ(runWords({"key", "north.1"}).Code, ExitBadUsage);
+}
+
 // Guards against a first document that replaces one in force.
 TEST_F(CliTest, BootstrapNeedsAnEmptyStore) {
   std::string Document = write("d.json", exampleDocument());
--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -10,5 +10,6 @@
 extern const Command SubmitCommand;
 extern const Command StatusCommand;
 extern const Command CancelCommand;
+extern const Command KeyCommand;
 
 } // namespace teaselwalk::cli
