--- a/src/teaselwalk/cli/bootstrap.cpp
+++ b/src/teaselwalk/cli/bootstrap.cpp
@@ -1,20 +1,26 @@
 #include "bootstrap.hpp"
 
-#include "remote.hpp"
+#include "teaselwalk/platform/store_client.hpp"
 
 namespace teaselwalk::cli {
 namespace {
 
+protocol::StoreReply callStore(const protocol::Address &Store,
+                               const protocol::StoreRequest &Call,
+                               Duration Timeout) {
+  return platform::toReply(
+      Call, http::sendAndWait(Store, platform::toHttp(Call), Timeout));
+}
+
 BootstrapOutcome readBack(const protocol::Address &Store,
                           const std::string &Written, Duration Timeout) {
-  http::Request Read;
-  Read.Target = std::string("/kv/") + config::HeadKey;
-  http::Result Got = http::sendAndWait(Store, Read, Timeout);
-  if (Got.State != protocol::Delivery::Answered || Got.Message.Status != 200)
+  protocol::StoreRequest Read;
+  Read.Key = config::HeadKey;
+  protocol::StoreReply Found = callStore(Store, Read, Timeout);
+  if (Found.Status != protocol::StoreStatus::Ok)
     return BootstrapOutcome::Unknown;
-  return textOf(bodyOf(Got.Message), "value") == Written
-             ? BootstrapOutcome::Written
-             : BootstrapOutcome::Exists;
+  return Found.Value == Written ? BootstrapOutcome::Written
+                                : BootstrapOutcome::Exists;
 }
 
 } // namespace
@@ -22,19 +28,22 @@
 BootstrapOutcome bootstrap(const protocol::Address &Store,
                            const config::Document &Document,
                            const config::ChangeNote &Note, Duration Timeout) {
-  http::Request Write;
-  Write.Method = "PUT";
-  Write.Target = std::string("/kv/") + config::HeadKey + "?version=0";
-  Write.Body = serialise(config::nextHead({}, {}, Document, Note).Head);
-  http::Result Got = http::sendAndWait(Store, Write, Timeout);
-  if (Got.State == protocol::Delivery::NotSent)
-    return BootstrapOutcome::NotSent;
-  if (Got.State == protocol::Delivery::Lost)
-    return readBack(Store, Write.Body, Timeout);
-  if (Got.Message.Status == 200)
+  protocol::StoreRequest Write;
+  Write.Operation = protocol::StoreOperation::Write;
+  Write.Key = config::HeadKey;
+  Write.Value = serialise(config::nextHead({}, {}, Document, Note).Head);
+  switch (callStore(Store, Write, Timeout).Status) {
+  case protocol::StoreStatus::Ok:
     return BootstrapOutcome::Written;
-  return Got.Message.Status == 409 ? BootstrapOutcome::Exists
-                                   : BootstrapOutcome::Refused;
+  case protocol::StoreStatus::NotSent:
+    return BootstrapOutcome::NotSent;
+  case protocol::StoreStatus::Conflict:
+    return BootstrapOutcome::Exists;
+  case protocol::StoreStatus::Lost:
+    return readBack(Store, Write.Value, Timeout);
+  default:
+    return BootstrapOutcome::Refused;
+  }
 }
 
 } // namespace teaselwalk::cli
--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -6,7 +6,7 @@
 
 const std::vector<Command> &commands() {
   static const std::vector<Command> Table = {
-      ServeCommand,  CheckCommand,  ApplyCommand, SubmitCommand,
+      ServeCommand,  CheckCommand,  ApplyCommand, KeyCommand,   SubmitCommand,
       StatusCommand, CancelCommand, FakeCommand,  BenchCommand,
   };
   return Table;
