--- a/include/teaselwalk/cluster/shard_ownership.hpp
+++ b/include/teaselwalk/cluster/shard_ownership.hpp
@@ -26,7 +26,7 @@
   /// use. Lets the answers of the other endpoints arrive.
   Duration Discovery{200};
   Duration RetakeMin{2000};  ///< Delay after a further refusal.
-  Duration RetakeMax{60000}; ///< The delay doubles up to this.
+  Duration RetakeMax{16000}; ///< The delay doubles up to this.
   Duration ListLag{60000};   ///< Bound of the lag of the VM list.
   size_t MaxAttaches = 32;   ///< Attaches and probes in flight.
 };
--- a/src/teaselwalk/cluster/allowance_demand.cpp
+++ b/src/teaselwalk/cluster/allowance_demand.cpp
@@ -1,6 +1,5 @@
 #include "teaselwalk/cluster/allowance_ledger.hpp"
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
--- a/src/teaselwalk/cluster/sharding.cpp
+++ b/src/teaselwalk/cluster/sharding.cpp
@@ -2,7 +2,6 @@
 
 #include "teaselwalk/base/error.hpp"
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace teaselwalk::cluster {
