--- /dev/null
+++ b/src/teaselwalk/cluster/allowance_test.cpp
@@ -0,0 +1,283 @@
+#include "teaselwalk/cluster/allowance_ledger.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include "property_test.hpp"
+
+#include <random>
+
+using namespace teaselwalk;
+using namespace teaselwalk::cluster;
+using protocol::ShardId;
+using protocol::StoreReply;
+using protocol::StoreRequest;
+using protocol::StoreStatus;
+
+namespace {
+
+const TeamId Team("north");
+
+ShardId shard(uint32_t N) {
+  return {DataCentreId("dc" + std::to_string(N)), 0};
+}
+Resources amount(int64_t N) { return {1000 * N, 100 * N, 0, N, N}; }
+
+std::set<ShardId> shards(uint32_t Count) {
+  std::set<ShardId> Result;
+  for (uint32_t I = 0; I < Count; ++I)
+    Result.insert(shard(I));
+  return Result;
+}
+
+/// One key with compare-and-swap.
+struct FakeKey {
+  std::optional<AllowanceRecord> Record;
+  protocol::StoreVersion Version = 0;
+  int Writes = 0;
+
+  StoreReply act(const StoreRequest &Request) {
+    StoreReply Reply;
+    Reply.Version = Version;
+    if (Request.Operation == protocol::StoreOperation::Read) {
+      Reply.Status = Record ? StoreStatus::Ok : StoreStatus::NotFound;
+      if (Record)
+        Reply.Value = encodeAllowance(*Record);
+      return Reply;
+    }
+    Reply.Status = StoreStatus::Conflict;
+    if (Request.Expected == Version) {
+      Record = decodeAllowance(Request.Value);
+      Reply.Version = ++Version;
+      Reply.Status = StoreStatus::Ok;
+      ++Writes;
+    }
+    return Reply;
+  }
+};
+
+// Guards against a record that other processes read differently.
+TEST(Allowance, RecordSurvivesEncoding) {
+  AllowanceRecord Record =
+      createAllowances(amount(100), 7, shards(3), {{shard(0), amount(3)}});
+  Record.Rows[shard(1)].Holder = {4, ProcessId("p")};
+  Record.Rows[shard(1)].Wanted = amount(2);
+  Record.Rows[shard(0)].Target = amount(1);
+  EXPECT_TRUE(decodeAllowance(encodeAllowance(Record)) == Record);
+  EXPECT_THROW(decodeAllowance("{}"), InvalidInput);
+}
+
+// Guards against a first split that loses a part of the limit to rounding.
+TEST(Allowance, FirstSplitUsesTheWholeLimit) {
+  AllowanceRecord Record =
+      createAllowances(amount(100), 1, shards(3),
+                       {{shard(0), amount(1)}, {shard(1), amount(2)}});
+  EXPECT_EQ(Record.total(), amount(100));
+  EXPECT_GT(Record.Rows[shard(1)].Amount.Slots,
+            Record.Rows[shard(0)].Amount.Slots);
+  EXPECT_EQ(createAllowances(amount(100), 1, shards(7), {}).total(),
+            amount(100));
+}
+
+// Guards against a lowered limit that stops work in reachable data centres less
+// than needed, or gives away what an isolated one still uses.
+TEST(Allowance, LoweringCutsReachableShardsFirst) {
+  AllowanceRecord Record = createAllowances(amount(90), 1, shards(3), {});
+  std::set<ShardId> Isolated{shard(0)};
+  Record = withLimit(Record, amount(45), 2, Isolated);
+  EXPECT_EQ(Record.totalTarget(), amount(45));
+  EXPECT_EQ(Record.Rows[shard(0)].Target, amount(30));
+  EXPECT_EQ(Record.total(), amount(90));
+  Record = withTargetMet(Record, shard(1), {});
+  Record = withTargetMet(Record, shard(2), {});
+  EXPECT_EQ(Record.total(), amount(45));
+  // Below the part of the isolated shard: it follows when it returns.
+  Record = withLimit(Record, amount(20), 3, Isolated);
+  EXPECT_EQ(Record.Rows[shard(0)].Target, amount(20));
+  EXPECT_EQ(Record.Rows[shard(1)].Target, Resources());
+  Record = withTargetMet(
+      withTargetMet(withTargetMet(Record, shard(0), {}), shard(1), {}),
+      shard(2), {});
+  EXPECT_EQ(Record.total(), amount(20));
+  Record = withLimit(Record, amount(50), 4, {});
+  EXPECT_EQ(Record.total(), amount(50));
+  EXPECT_EQ(withoutShard(Record, shard(0), {}).total(), amount(50));
+}
+
+// Guards against a shard that uses an amount while its gift is under way, and
+// after the answer was lost.
+TEST(Allowance, GiftIsNotUsableBeforeTheSwap) {
+  FakeKey Key;
+  Key.Record = createAllowances(amount(100), 1, shards(2), {});
+  Key.Version = 1;
+  AllowanceLedger Ledger(shard(0), {1, ProcessId("p")});
+  std::vector<AllowanceRequest> Out;
+  auto tick = [&](int64_t Ms) {
+    Out.clear();
+    Ledger.tick(timeAt(Ms), Out);
+    return Out.size();
+  };
+  Ledger.noteUse(Team, amount(1), amount(10), timeAt(0));
+  EXPECT_EQ(Ledger.usable(Team), Resources()); // Not claimed yet.
+  for (int64_t Ms = 0; Ms < 1000; Ms += 100)
+    if (tick(Ms))
+      Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(Ms));
+  EXPECT_EQ(Ledger.usable(Team), amount(50));
+  Key.Record->Rows[shard(1)].Wanted = amount(20);
+  Ledger.onRecord(Team, *Key.Record, ++Key.Version, timeAt(20000));
+  ASSERT_EQ(tick(21100), 1u);
+  EXPECT_EQ(Ledger.usable(Team), amount(30));
+  StoreRequest Move = Out[0].Request;
+  Ledger.onReply(Out[0].Id, StoreReply(), timeAt(21200)); // Lost.
+  ASSERT_EQ(tick(21300), 1u);
+  Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21400));
+  EXPECT_EQ(Ledger.usable(Team), amount(30));
+  ASSERT_EQ(tick(21500), 1u);
+  EXPECT_EQ(Out[0].Request.Value, Move.Value);
+  Key.act(Move); // The first attempt arrives late, and the second conflicts.
+  Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21600));
+  ASSERT_EQ(tick(21700), 1u);
+  Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21800));
+  EXPECT_FALSE(Ledger.hasPending(Team));
+  EXPECT_EQ(Ledger.usable(Team), amount(30));
+  EXPECT_EQ(Key.Record->Rows[shard(1)].Amount, amount(70));
+}
+
+// Guards against moves that swing back and forth under changing demand, and
+// against a shard that spends the store's write budget.
+TEST(Allowance, MovesAreFewAndBounded) {
+  FakeKey Key;
+  Key.Record = createAllowances(amount(100), 1, shards(2), {});
+  Key.Version = 1;
+  std::vector<AllowanceLedger> Ledgers{{shard(0), {1, ProcessId("p")}},
+                                       {shard(1), {1, ProcessId("q")}}};
+  for (int64_t Ms = 0; Ms < 60000; Ms += 100)
+    for (size_t I = 0; I < 2; ++I) {
+      int64_t Demand = (Ms / 500 + static_cast<int64_t>(I)) % 2 == 0 ? 55 : 5;
+      Ledgers[I].noteUse(Team, amount(5), amount(Demand), timeAt(Ms));
+      std::vector<AllowanceRequest> Out;
+      Ledgers[I].tick(timeAt(Ms), Out);
+      for (const AllowanceRequest &Call : Out)
+        Ledgers[I].onReply(Call.Id, Key.act(Call.Request), timeAt(Ms));
+      Ledgers[I].onRecord(Team, *Key.Record, Key.Version, timeAt(Ms));
+    }
+  EXPECT_LE(Key.Writes, 4);
+}
+
+// --- Property: conflicting moves, lost answers, new owners ------------------
+
+struct AllowanceWorld {
+  std::mt19937 Random;
+  FakeKey Key;
+  std::vector<AllowanceLedger> Ledgers;
+  struct Delayed {
+    int64_t At;
+    StoreRequest Request;
+  };
+  std::vector<Delayed> Late;
+  std::set<size_t> Isolated;
+  uint64_t Counter = 1;
+  int64_t Limit = 100;
+
+  explicit AllowanceWorld(uint32_t Seed) : Random(Seed) {
+    for (uint32_t I = 0; I < 3; ++I)
+      Ledgers.push_back(makeLedger(I));
+  }
+  bool chance(uint32_t Percent) { return Random() % 100 < Percent; }
+
+  AllowanceLedger makeLedger(uint32_t I) {
+    AllowanceOptions Options;
+    Options.KeepReceived = Duration(500);
+    Options.GiftSpread = Duration(200);
+    AllowanceLedger Ledger(shard(I), {Counter++, ProcessId("p")}, Options);
+    Ledger.setLimit(Team, amount(Limit), Counter);
+    return Ledger;
+  }
+
+  void call(AllowanceLedger &Ledger, size_t I, const AllowanceRequest &Call,
+            int64_t Now) {
+    StoreReply Reply;
+    if (Isolated.count(I) != 0) {
+      Reply.Status = StoreStatus::NotSent;
+    } else if (chance(15)) {
+      Late.push_back(
+          {Now + static_cast<int64_t>(Random() % 6000), Call.Request});
+    } else if (!chance(10)) {
+      Reply = Key.act(Call.Request);
+      if (chance(15))
+        Reply = StoreReply(); // Took effect, answer lost.
+    }
+    Ledger.onReply(Call.Id, Reply, timeAt(Now));
+  }
+
+  void stepLedger(uint32_t I, int64_t Now) {
+    if (chance(1)) // Another owner; requests of the former one may be late.
+      Ledgers[I] = makeLedger(I);
+    AllowanceLedger &Ledger = Ledgers[I];
+    std::set<ShardId> Silent;
+    for (size_t Other : Isolated)
+      Silent.insert(shard(static_cast<uint32_t>(Other)));
+    Ledger.setFleet(true, shards(3), Silent);
+    Ledger.setLimit(Team, amount(Limit), Counter);
+    if (chance(20)) {
+      Resources Used = amount(static_cast<int64_t>(Random() % 30));
+      Ledger.noteUse(Team, smaller(Used, Ledger.usable(Team)),
+                     amount(static_cast<int64_t>(Random() % 90)), timeAt(Now));
+    }
+    std::vector<AllowanceRequest> Out;
+    Ledger.tick(timeAt(Now), Out);
+    for (const AllowanceRequest &Item : Out)
+      call(Ledger, I, Item, Now);
+    if (chance(30) && Key.Record && Isolated.count(I) == 0)
+      Ledger.onRecord(Team, *Key.Record, Key.Version, timeAt(Now));
+  }
+
+  void step(int64_t Now) {
+    for (const Delayed &Item : Late)
+      if (Item.At <= Now && Item.At > Now - 100)
+        Key.act(Item.Request);
+    if (chance(1)) {
+      Limit = 40 + static_cast<int64_t>(Random() % 100);
+      ++Counter;
+    }
+    if (chance(1))
+      Isolated =
+          chance(50) ? std::set<size_t>{Random() % 3} : std::set<size_t>{};
+    for (uint32_t I = 0; I < 3; ++I)
+      stepLedger(I, Now);
+  }
+
+  /// No owner uses more than its row, so the sum of uses is at most the total.
+  bool rowsRespected() const {
+    for (uint32_t I = 0; I < 3; ++I) {
+      Resources Usable = Ledgers[I].usable(Team);
+      if (Usable != Resources() &&
+          !fits(Usable, Key.Record->Rows.at(shard(I)).Amount))
+        return false;
+    }
+    return true;
+  }
+};
+
+// Guards against a sum of allowances above the limit: two shards that move at
+// the same time, lost answers, writes that take effect late or under a former
+// owner, limits that fall and rise, an isolated data centre.
+TEST(Allowance, SumNeverExceedsTheLimit) {
+  checkProperty(20261207, 300, [] {
+    AllowanceWorld World(*within<uint32_t>(0, 1U << 30U));
+    Resources Before;
+    int Moves = 0;
+    for (int64_t Now = 0; Now < 60000; Now += 100) {
+      World.step(Now);
+      if (!World.Key.Record)
+        continue;
+      Resources Total = World.Key.Record->total();
+      RC_ASSERT(fits(Total, larger(World.Key.Record->Limit, Before)));
+      RC_ASSERT(World.rowsRespected());
+      Moves += Total == Before ? 0 : 1;
+      Before = Total;
+    }
+    RC_ASSERT(World.Key.Writes > 3);
+  });
+}
+
+} // namespace
