engine: allowances move between shards with demand

Cause: a team's limit was split into equal fixed parts, so a limit below the number of shards let the team start nothing anywhere. Change: one ledger per held shard, one watch of allowance/ per process, claims ahead of need; unread endpoints after a takeover count as used. Conclusion: the sum over shards stays within the limit and follows demand.

--- a/include/teaselwalk/engine/engine.hpp
+++ b/include/teaselwalk/engine/engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "teaselwalk/cluster/membership.hpp"
+#include "teaselwalk/engine/allowance_watch.hpp"
 #include "teaselwalk/engine/commands.hpp"
 #include "teaselwalk/engine/document_keeper.hpp"
 #include "teaselwalk/engine/options.hpp"
@@ -89,6 +90,7 @@
   Commands Out;
   DocumentKeeper Keeper;
   cluster::Membership Members;
+  AllowanceWatch Limits;
   std::map<uint32_t, std::unique_ptr<ShardWorker>> Workers;
   std::vector<protocol::VmInfo> Vms;
   uint64_t AppliedRevision = 0;
--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/id.hpp"
 #include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cluster/allowance_ledger.hpp"
 #include "teaselwalk/cluster/document_freshness.hpp"
 #include "teaselwalk/cluster/membership.hpp"
 #include "teaselwalk/cluster/shard_ownership.hpp"
@@ -26,6 +27,9 @@
   Duration StoreTimeout{2000};
   Duration EndpointTimeout{2000}; ///< For attach, renew, stop and start.
   Duration FlushInterval{1000};   ///< Between batches of ended tasks.
+  Duration MoveInterval{100};     ///< Between two looks at the allowances.
+  Duration WatchLength{5000};     ///< Longest wait of one watch of the store.
+  Duration WatchPause{500}; ///< Between two watches, which bounds their rate.
   Duration ReloadInterval{10000}; ///< Between readings of a shard's jobs.
   /// Longest time an ended job stays in memory and in the store.
   Duration JobRetention{600000};
@@ -43,6 +47,7 @@
 
   cluster::ShardOwnershipOptions Ownership;
   cluster::MembershipOptions Membership;
+  cluster::AllowanceOptions Allowances;
   cluster::FreshnessOptions Freshness;
   schedule::SchedulerOptions Scheduling;
 };
--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "teaselwalk/cluster/allowance_ledger.hpp"
 #include "teaselwalk/cluster/shard_ownership.hpp"
 #include "teaselwalk/cluster/takeover_guard.hpp"
 #include "teaselwalk/config/document.hpp"
@@ -43,7 +44,10 @@
   /// The endpoints of this shard and the entry VMs by a newer VM list.
   void setVms(const std::vector<protocol::VmInfo> &Endpoints,
               const std::set<std::string> &EntryNames, TimePoint Now);
-  void setDocument(const config::Document &Document, size_t AllShards);
+  void setDocument(const config::Document &Document, uint64_t Revision);
+  /// A record `allowance/<team>` that has changed.
+  void onAllowance(const TeamId &Team, const cluster::AllowanceRecord &Record,
+                   protocol::StoreVersion Version, TimePoint Now);
   void setWish(cluster::OwnershipWish Wish, TimePoint Now);
   /// Whether tasks may start: the document is confirmed and the data centre
   /// takes work.
@@ -106,6 +110,14 @@
   void endLostLeases(TimePoint Now);
   void reclaim(TimePoint Now);
 
+  // shard_worker_limits.cpp
+  void removeTeam(const TeamId &Team);
+  void openLedger();
+  void applyLimits();
+  void moveAllowances(TimePoint Now);
+  void applyAllowances(TimePoint Now);
+  Resources unknownUse(TimePoint Now) const;
+
   // shard_worker_run.cpp
   void decide(TimePoint Now);
   void start(const schedule::Placement &Place, TimePoint Now);
@@ -177,6 +189,13 @@
   std::unordered_map<TaskId, OpenCall> Calls;
   std::unordered_map<JobId, Job> Jobs;
   std::unordered_map<JobId, std::vector<std::function<void(bool)>>> Cancels;
+  /// Only with authority.
+  std::optional<cluster::AllowanceLedger> Allowances;
+  TimePoint NextMove;
+  uint64_t Term = 0; ///< Of the ledger, to drop replies to an earlier one.
+  std::map<TeamId, config::Team> Teams;
+  std::set<protocol::ShardId> AllShards;
+  uint64_t Revision = 0; ///< Of the document.
 
   bool StartsAllowed = false;
   bool HadAuthority = false;
--- a/include/teaselwalk/fakes/store_model.hpp
+++ b/include/teaselwalk/fakes/store_model.hpp
@@ -73,6 +73,7 @@
   protocol::StoreReply write(const protocol::StoreRequest &Call);
   protocol::StoreReply remove(const protocol::StoreRequest &Call);
   protocol::StoreReply list(const protocol::StoreRequest &Call) const;
+  protocol::StoreReply watch(const protocol::StoreRequest &Call) const;
   protocol::StoreReply grant(const protocol::StoreRequest &Call, TimePoint Now);
   protocol::StoreReply renew(const protocol::StoreRequest &Call, TimePoint Now);
   protocol::StoreVersion versionOf(const std::string &Key) const;
--- a/include/teaselwalk/protocol/store.hpp
+++ b/include/teaselwalk/protocol/store.hpp
@@ -13,13 +13,22 @@
 /// Version of a key; 0 stands for "the key does not exist".
 using StoreVersion = uint64_t;
 
-enum class StoreOperation { Read, Write, Remove, List, GrantLease, RenewLease };
+enum class StoreOperation {
+  Read,
+  Write,
+  Remove,
+  List,
+  Watch, ///< Answers when a key with the prefix changes, or after `Ttl`.
+  GrantLease,
+  RenewLease,
+};
 
-constexpr std::array<EnumName<StoreOperation>, 6> StoreOperationNames = {{
+constexpr std::array<EnumName<StoreOperation>, 7> StoreOperationNames = {{
     {StoreOperation::Read, "read"},
     {StoreOperation::Write, "write"},
     {StoreOperation::Remove, "remove"},
     {StoreOperation::List, "list"},
+    {StoreOperation::Watch, "watch"},
     {StoreOperation::GrantLease, "grant_lease"},
     {StoreOperation::RenewLease, "renew_lease"},
 }};
@@ -28,12 +37,13 @@
 /// effect only if the key has version `Expected`.
 struct StoreRequest {
   StoreOperation Operation = StoreOperation::Read;
-  std::string Key;           ///< Key, or prefix for List.
+  std::string Key;           ///< Key, or prefix for List and Watch.
   std::string Value;         ///< For Write, at most 1 MB.
   StoreVersion Expected = 0; ///< For Write and Remove.
-  StoreVersion Unless = 0;   ///< For Read: answer Unchanged at this version.
-  std::string Lease;         ///< Binds a write to a lease, or names the lease.
-  Duration Ttl{0};           ///< For GrantLease.
+  /// For Read: answer Unchanged at this version. For Watch: changes after it.
+  StoreVersion Unless = 0;
+  std::string Lease; ///< Binds a write to a lease, or names the lease.
+  Duration Ttl{0};   ///< For GrantLease; for Watch the longest wait.
 };
 
 enum class StoreStatus {
@@ -65,8 +75,9 @@
 struct StoreReply {
   StoreStatus Status = StoreStatus::Lost;
   StoreVersion Version = 0;
-  std::string Value;               ///< Value read, or id of the lease granted.
-  std::vector<StoreEntry> Entries; ///< For List.
+  std::string Value; ///< Value read, or id of the lease granted.
+  /// For List; for Watch the changed keys with their versions, no values.
+  std::vector<StoreEntry> Entries;
 };
 
 } // namespace teaselwalk::protocol
--- a/include/teaselwalk/schedule/scheduler.hpp
+++ b/include/teaselwalk/schedule/scheduler.hpp
@@ -84,6 +84,8 @@
   std::optional<EndpointId> endpointOf(const TaskId &Task) const;
   int64_t queuedTasks() const { return State.Queue.taskCount(); }
   size_t runningTasks() const { return State.Running.size(); }
+  /// Size of the queued tasks of \p Team, counted no further than \p Cap.
+  Resources queuedDemand(const TeamId &Team, const Resources &Cap) const;
   /// The account of a team, or null.
   const TeamAccount *team(const TeamId &Team) const;
 
--- a/src/teaselwalk/cluster/allowance_demand.cpp
+++ b/src/teaselwalk/cluster/allowance_demand.cpp
@@ -61,7 +61,10 @@
   if (Row == Item.Record->Rows.end())
     return std::nullopt;
   if (Row->second.Holder != Owner) {
-    if (Item.Used == Resources() && Item.Needed == Resources())
+    // A row is claimed ahead of need, so that the first call of a team need not
+    // wait for the store; half of the burst stays for rows that are needed.
+    bool IsNeeded = Item.Used != Resources() || Item.Needed != Resources();
+    if (!IsNeeded && Tokens < Options.WriteBurst / 2)
       return std::nullopt;
     return withClaim(*Item.Record, Shard, Owner);
   }
--- a/src/teaselwalk/cluster/allowance_ledger.cpp
+++ b/src/teaselwalk/cluster/allowance_ledger.cpp
@@ -68,6 +68,8 @@
   Item.SeenAt = Now;
   Item.Absent = false;
   Item.ReadNext = false;
+  // A pause after an earlier call must not delay the claim of a new record.
+  Item.NextCall = std::min(Item.NextCall, Now);
   // Another version: the proposed write took effect or never will.
   Item.Proposed.reset();
   Item.MayLand = false;
--- /dev/null
+++ b/src/teaselwalk/engine/allowance_watch.cpp
@@ -0,0 +1,64 @@
+#include "teaselwalk/engine/allowance_watch.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <utility>
+
+namespace teaselwalk::engine {
+namespace {
+
+constexpr const char *Prefix = "allowance/";
+
+} // namespace
+
+AllowanceWatch::AllowanceWatch(const EngineOptions &Options, Commands &Out,
+                               OnRecord Take)
+    : Options(Options), Out(Out), Take(std::move(Take)) {}
+
+void AllowanceWatch::tick(TimePoint Now) {
+  if (Waiting || Now < NextWatch)
+    return;
+  Waiting = true;
+  NextWatch = Now + Options.WatchPause;
+  protocol::StoreRequest Watch;
+  Watch.Operation = protocol::StoreOperation::Watch;
+  Watch.Key = Prefix;
+  Watch.Unless = Seen;
+  Watch.Ttl = Options.WatchLength;
+  Out.store(std::move(Watch), Options.WatchLength + Options.StoreTimeout,
+            [this](const protocol::StoreReply &Reply, TimePoint Later) {
+              onWatch(Reply, Later);
+            });
+}
+
+void AllowanceWatch::onWatch(const protocol::StoreReply &Reply, TimePoint Now) {
+  Waiting = false;
+  if (Reply.Status != protocol::StoreStatus::Ok) {
+    NextWatch = Now + Options.FlushInterval;
+    return;
+  }
+  Seen = Reply.Version;
+  std::set<std::string> Changed;
+  for (const protocol::StoreEntry &Entry : Reply.Entries)
+    if (Entry.Version > 0)
+      Changed.insert(Entry.Key);
+  for (const std::string &Key : Changed)
+    read(Key);
+}
+
+void AllowanceWatch::read(const std::string &Key) {
+  protocol::StoreRequest Read;
+  Read.Key = Key;
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Key](const protocol::StoreReply &Reply, TimePoint Now) {
+              // A record that is missed here is seen with its next change, or
+              // read by the ledger that needs it.
+              if (Reply.Status != protocol::StoreStatus::Ok)
+                return;
+              TeamId Team(Key.substr(std::string(Prefix).size()));
+              Take(Team, cluster::decodeAllowance(Reply.Value), Reply.Version,
+                   Now);
+            });
+}
+
+} // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -12,7 +12,13 @@
 Engine::Engine(EngineOptions Given, TimePoint Now)
     : Options(std::move(Given)), Keeper(Options, Out),
       Members(Options.Self, Options.DataCentre, Options.PeerAddress,
-              Options.Seed, Now, Options.Membership) {}
+              Options.Seed, Now, Options.Membership),
+      Limits(Options, Out,
+             [this](const TeamId &Team, const cluster::AllowanceRecord &Record,
+                    protocol::StoreVersion Version, TimePoint When) {
+               for (auto &Row : Workers)
+                 Row.second->onAllowance(Team, Record, Version, When);
+             }) {}
 
 void Engine::handle(const Event &Value, TimePoint Now, Actions &Actions) {
   std::visit([&](const auto &Kind) { on(Kind, Now); }, Value);
@@ -23,6 +29,8 @@
   Keeper.tick(Now);
   if (Keeper.revision() != AppliedRevision)
     applyDocument(Now);
+  if (AppliedRevision > 0)
+    Limits.tick(Now);
   if (Now >= NextVmList) {
     NextVmList = Now + Options.VmListInterval;
     Out.emit(FetchVmList{});
@@ -100,9 +108,6 @@
 void Engine::applyDocument(TimePoint Now) {
   AppliedRevision = Keeper.revision();
   const config::Document &Document = Keeper.document();
-  size_t AllShards = 0;
-  for (const config::DataCentre &Centre : Document.DataCentres)
-    AllShards += Centre.Shards;
   const auto *Own = config::findDataCentre(Document, Options.DataCentre);
   uint32_t Count = Own ? Own->Shards : 0;
   for (uint32_t Number = 0; Number < Count; ++Number)
@@ -111,7 +116,7 @@
                                   protocol::ShardId{Options.DataCentre, Number},
                                   Options, Out));
   for (auto &Row : Workers)
-    Row.second->setDocument(Document, AllShards);
+    Row.second->setDocument(Document, AppliedRevision);
   assignVms(Now);
 }
 
--- a/src/teaselwalk/engine/shard_worker.cpp
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -68,27 +68,35 @@
 }
 
 void ShardWorker::setDocument(const config::Document &Document,
-                              size_t AllShards) {
-  auto Divisor = static_cast<int64_t>(std::max<size_t>(AllShards, 1));
-  std::set<TeamId> Present;
-  for (const config::Team &Team : Document.Teams) {
-    Present.insert(Team.Name);
-    schedule::TeamSettings Settings;
-    Settings.Weight = static_cast<double>(Team.Share);
-    Settings.Limit = Team.Limit;
-    Settings.LimitTasks = Team.Limit.Slots;
-    // Equal parts of the limit, so that the sum over all shards is at most the
-    // limit without any message between them.
-    for (int64_t Resources::*Field : ResourceFields)
-      Settings.Allowance.*Field = Team.Limit.*Field / Divisor;
-    Settings.RunningTasks = Settings.Allowance.Slots;
-    Queue.setTeam(Team.Name, Settings);
-  }
+                              uint64_t NewRevision) {
+  Revision = NewRevision;
+  AllShards.clear();
+  for (const config::DataCentre &Centre : Document.DataCentres)
+    for (uint32_t Number = 0; Number < Centre.Shards; ++Number)
+      AllShards.insert({Centre.Name, Number});
+  std::map<TeamId, config::Team> Next;
+  for (const config::Team &Team : Document.Teams)
+    Next.emplace(Team.Name, Team);
+  for (const auto &Row : Teams)
+    if (Next.count(Row.first) == 0)
+      removeTeam(Row.first);
+  Teams = std::move(Next);
   static constexpr std::array<schedule::TaskClass, 4> Classes = {
       schedule::TaskClass::Urgent, schedule::TaskClass::Service,
       schedule::TaskClass::Call, schedule::TaskClass::Batch};
   for (const config::Queue &Row : Document.Queues)
     Queue.setQueue(Row.Name, Classes[static_cast<size_t>(Row.Class)]);
+  applyLimits();
+}
+
+void ShardWorker::removeTeam(const TeamId &Team) {
+  for (const TaskId &Task : Queue.removeTeam(Team)) {
+    auto Call = Calls.find(Task);
+    if (Call != Calls.end())
+      answerCall(Task,
+                 refuseCall(Call->second.Request, protocol::Refusal::Forbidden,
+                            "the team was removed"));
+  }
 }
 
 void ShardWorker::setWish(cluster::OwnershipWish Wish, TimePoint Now) {
@@ -107,6 +115,7 @@
     return;
   endLostLeases(Now);
   reload(Now);
+  moveAllowances(Now);
   reclaim(Now);
   decide(Now);
   Done.tick(Owner.epoch(), Now);
@@ -124,8 +133,10 @@
          {{"epoch", std::to_string(Owner.epoch().Counter)}});
   if (Gained) {
     NextLoad = Now;
+    openLedger();
     return;
   }
+  Allowances.reset();
   // The records of jobs are in the store; the next owner reads them.
   for (const auto &Row : Jobs)
     Queue.cancelJob(Row.first);
--- /dev/null
+++ b/src/teaselwalk/engine/shard_worker_limits.cpp
@@ -0,0 +1,82 @@
+#include "teaselwalk/engine/shard_worker.hpp"
+
+#include <algorithm>
+#include <utility>
+
+/// Limits of teams: the shard's allowances and their moves.
+namespace teaselwalk::engine {
+
+void ShardWorker::openLedger() {
+  ++Term;
+  NextMove = TimePoint();
+  Allowances.emplace(Shard, Owner.epoch(), Options.Allowances);
+  applyLimits();
+}
+
+void ShardWorker::applyLimits() {
+  if (!Allowances)
+    return;
+  // The owners of the shards 0 create the records. Several planners at once
+  // are safe: each change is one compare-and-swap.
+  Allowances->setFleet(Shard.Number == 0, AllShards, {});
+  for (const auto &Row : Teams)
+    Allowances->setLimit(Row.first, Row.second.Limit, Revision);
+}
+
+void ShardWorker::onAllowance(const TeamId &Team,
+                              const cluster::AllowanceRecord &Record,
+                              protocol::StoreVersion Version, TimePoint Now) {
+  if (Allowances)
+    Allowances->onRecord(Team, Record, Version, Now);
+}
+
+void ShardWorker::moveAllowances(TimePoint Now) {
+  if (Now < NextMove)
+    return;
+  NextMove = Now + Options.MoveInterval;
+  for (const auto &Row : Teams) {
+    const schedule::TeamAccount *Account = Queue.team(Row.first);
+    Resources Used = Account ? Account->Charged : Resources();
+    Resources Needed = Used;
+    if (Account)
+      Needed += Queue.queuedDemand(Row.first, Row.second.Limit);
+    Allowances->noteUse(Row.first, Used, Needed, Now);
+  }
+  std::vector<cluster::AllowanceRequest> Due;
+  Allowances->tick(Now, Due);
+  for (cluster::AllowanceRequest &Call : Due)
+    Out.store(std::move(Call.Request), Options.StoreTimeout,
+              [this, Id = Call.Id, Mine = Term](
+                  const protocol::StoreReply &Reply, TimePoint Later) {
+                if (Allowances && Mine == Term)
+                  Allowances->onReply(Id, Reply, Later);
+              });
+  applyAllowances(Now);
+}
+
+Resources ShardWorker::unknownUse(TimePoint Now) const {
+  Resources Largest;
+  for (const auto &Row : Capacities)
+    Largest = cluster::larger(Largest, Row.second);
+  Resources Sum;
+  for (size_t I = Guard.unknown(Now).size(); I > 0; --I)
+    Sum += Largest;
+  return Sum;
+}
+
+void ShardWorker::applyAllowances(TimePoint Now) {
+  // Endpoints that this owner has not read may run tasks of any team.
+  Resources Unknown = unknownUse(Now);
+  for (const auto &Row : Teams) {
+    schedule::TeamSettings Settings;
+    Settings.Weight = static_cast<double>(Row.second.Share);
+    Settings.Limit = Row.second.Limit;
+    Settings.LimitTasks = Row.second.Limit.Slots;
+    Settings.Allowance =
+        cluster::larger(Resources(), Allowances->usable(Row.first) - Unknown);
+    Settings.RunningTasks = Settings.Allowance.Slots;
+    Queue.setTeam(Row.first, Settings);
+  }
+}
+
+} // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/world_test.hpp
+++ b/src/teaselwalk/engine/world_test.hpp
@@ -52,7 +52,8 @@
   /// Runs until \p Done holds, at most for \p Limit. Returns whether it holds.
   bool runUntil(const std::function<bool()> &Done, Duration Limit);
 
-  /// Runs until every shard has an owner with authority.
+  /// Runs until every shard has an owner with authority, and then until the
+  /// owners have claimed their allowances.
   bool settle() {
     return runUntil([&] { return allOwned(); }, Duration(30000));
   }
--- a/src/teaselwalk/fakes/store_http.cpp
+++ b/src/teaselwalk/fakes/store_http.cpp
@@ -112,6 +112,7 @@
           {{"key", Row.Key}, {"value", Row.Value}, {"version", Row.Version}});
     return {{"entries", std::move(Entries)}, {"version", Reply.Version}};
   }
+  case StoreOperation::Watch: // Answered by `FakeStore`, which can wait.
   case StoreOperation::Write:
   case StoreOperation::Remove:
     break;
--- a/src/teaselwalk/fakes/store_model.cpp
+++ b/src/teaselwalk/fakes/store_model.cpp
@@ -17,7 +17,9 @@
 }
 
 bool isRead(StoreOperation Operation) {
-  return Operation == StoreOperation::Read || Operation == StoreOperation::List;
+  return Operation == StoreOperation::Read ||
+         Operation == StoreOperation::List ||
+         Operation == StoreOperation::Watch;
 }
 
 StoreReply withStatus(StoreStatus Status, StoreVersion Version = 0) {
@@ -55,6 +57,9 @@
   case StoreOperation::List:
     Reply = list(Call);
     break;
+  case StoreOperation::Watch:
+    Reply = watch(Call);
+    break;
   case StoreOperation::GrantLease:
     Reply = grant(Call, Now);
     break;
@@ -66,6 +71,14 @@
   return Reply;
 }
 
+/// The changes up to now; a stand-in in virtual time does not wait.
+StoreReply StoreModel::watch(const StoreRequest &Call) const {
+  StoreReply Reply = withStatus(StoreStatus::Ok, Latest);
+  for (const StoreChange &Change : peekChanges(Call.Key, Call.Unless))
+    Reply.Entries.push_back({Change.Key, {}, Change.Version});
+  return Reply;
+}
+
 std::vector<StoreChange> StoreModel::changesAfter(const std::string &Prefix,
                                                   StoreVersion After,
                                                   TimePoint Now) {
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -112,7 +112,8 @@
   void sweep() {
     Sweeper.expires_after(SweepInterval);
     Sweeper.async_wait([Self = shared_from_this()](error_code Failure) {
-      if (Failure)
+      // A timer that expired before the release must not arm itself again.
+      if (Failure || Self->Released)
         return;
       Self->expire();
       Self->sweep();
--- a/src/teaselwalk/platform/store_client.cpp
+++ b/src/teaselwalk/platform/store_client.cpp
@@ -57,6 +57,12 @@
   return {"GET", "/list?prefix=" + http::percentEncode(Call.Key)};
 }
 
+http::Request watchRequest(const StoreRequest &Call) {
+  return {"GET", "/watch?prefix=" + http::percentEncode(Call.Key) +
+                     "&after=" + std::to_string(Call.Unless) +
+                     "&wait_ms=" + std::to_string(Call.Ttl.count())};
+}
+
 http::Request grantRequest(const StoreRequest &Call) {
   return {"POST", "/leases", bodyOf({{"ttl_ms", Call.Ttl.count()}})};
 }
@@ -113,6 +119,21 @@
   return true;
 }
 
+bool fillWatch(const json &Json, StoreReply &Reply) {
+  if (!readVersion(Json, Reply.Version))
+    return false;
+  auto Changes = Json.find("keys");
+  if (Changes == Json.end() || !Changes->is_array())
+    return false;
+  for (const json &Row : *Changes) {
+    StoreEntry Entry;
+    if (!readVersion(Row, Entry.Version) || !readText(Row, "key", Entry.Key))
+      return false;
+    Reply.Entries.push_back(std::move(Entry));
+  }
+  return true;
+}
+
 bool fillLease(const json &Json, StoreReply &Reply) {
   return readText(Json, "lease", Reply.Value) && !Reply.Value.empty();
 }
@@ -128,6 +149,7 @@
     {StoreOperation::Write, writeRequest, fillWrite},
     {StoreOperation::Remove, removeRequest, fillObject},
     {StoreOperation::List, listRequest, fillList},
+    {StoreOperation::Watch, watchRequest, fillWatch},
     {StoreOperation::GrantLease, grantRequest, fillLease},
     {StoreOperation::RenewLease, renewRequest, fillObject},
 };
--- a/src/teaselwalk/schedule/scheduler.cpp
+++ b/src/teaselwalk/schedule/scheduler.cpp
@@ -275,6 +275,20 @@
   return reclaimSteps(State, Now);
 }
 
+Resources Scheduler::queuedDemand(const TeamId &Team,
+                                  const Resources &Cap) const {
+  Resources Sum;
+  std::optional<TeamTable::Index> At = State.Teams.find(Team);
+  if (!At || State.Teams.at(*At).Queued == 0)
+    return Sum;
+  for (UnitId Id : State.Queue.unitsOf(*At)) {
+    Sum += State.Queue.find(Id)->total();
+    if (!fits(Sum, Cap))
+      break;
+  }
+  return Sum;
+}
+
 bool Scheduler::isQueued(const TaskId &Task) const {
   return State.Queue.findTask(Task) != nullptr;
 }
