--- a/include/teaselwalk/config/head.hpp
+++ b/include/teaselwalk/config/head.hpp
@@ -81,6 +81,9 @@
   /// `Base.Content` before the head is written. A conflict means that it is
   /// there already: the content of a revision never changes.
   bool CopyBefore = false;
+  /// If not 0, `documentKey` of this revision may be removed once the head is
+  /// written. A reader that misses it reads the head again.
+  uint64_t ObsoleteCopy = 0;
 };
 
 /// The head that makes \p Document the revision after \p Base, the document of
--- a/src/teaselwalk/config/head.cpp
+++ b/src/teaselwalk/config/head.cpp
@@ -162,6 +162,7 @@
   if (Due || !Whole) {
     Out.Head.Copy = Current.Revision;
     Out.CopyBefore = true;
+    Out.ObsoleteCopy = Current.Copy;
   }
   return Out;
 }
--- a/src/teaselwalk/config/head_test.cpp
+++ b/src/teaselwalk/config/head_test.cpp
@@ -32,6 +32,7 @@
     NextHead Made = nextHead(Head, Latest, Next, Note, Bounds);
     if (Made.CopyBefore)
       Copies[Latest.Revision] = serialise(Latest.Content);
+    Copies.erase(Made.ObsoleteCopy);
     Head = parseHead(serialise(Made.Head), Bounds);
     Latest = {Head.Revision, Next};
     All.push_back(Latest);
@@ -69,6 +70,7 @@
   }
   EXPECT_EQ(Store.Head.Changes.size(), 32U);
   EXPECT_EQ(Store.Head.Copy, 64U);
+  EXPECT_EQ(Store.Copies.size(), 1U);
 }
 
 // Guards against a head that the store would refuse, and against dropping
