config, operators: one strict JSON parser for all outside documents

Cause: a document inside a request was parsed without the bound on nesting and without the check for repeated fields that a document file has. Copying a value nested hundreds of thousands of levels deep recurses as deep.

Change: parseStrictJson is shared by document files, requests and the command apply.

Conclusion: the bounds no longer depend on the way a document comes in.

--- a/src/teaselwalk/cli/apply_command.cpp
+++ b/src/teaselwalk/cli/apply_command.cpp
@@ -1,4 +1,5 @@
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/config/strict_json.hpp"
 
 #include "bootstrap.hpp"
 #include "command_rows.hpp"
@@ -46,13 +47,16 @@
 
 Draft readDraft(const std::string &Path) {
   std::string Text = readFile(Path);
-  Json Whole = Json::parse(Text, nullptr, false);
+  std::vector<FieldError> Mistakes;
+  Json Whole = config::parseStrictJson(Text, "document", Mistakes);
   bool Wrapped = Whole.is_object() && Whole.contains("document") &&
                  Whole.contains("revision");
   if (!Wrapped)
     return {config::parseDocument(Text), std::nullopt};
   if (!Whole["revision"].is_number_unsigned())
-    throw InvalidInput("revision", "must be an integer of at least 0");
+    Mistakes.push_back({"revision", "must be an integer of at least 0"});
+  if (!Mistakes.empty())
+    throw InvalidInput(std::move(Mistakes));
   return {config::documentFromJson(Whole["document"]),
           Whole["revision"].get<uint64_t>()};
 }
--- a/src/teaselwalk/config/document_parse.cpp
+++ b/src/teaselwalk/config/document_parse.cpp
@@ -1,4 +1,5 @@
 #include "teaselwalk/config/document.hpp"
+#include "teaselwalk/config/strict_json.hpp"
 
 #include "document_rules.hpp"
 #include "object_reader.hpp"
@@ -8,9 +9,6 @@
 
 using Json = nlohmann::json;
 
-// A document is four levels deep; deeper input is hostile.
-constexpr int MaxDepth = 16;
-
 std::string element(const std::string &Field, size_t Index) {
   return Field + "[" + std::to_string(Index) + "]";
 }
@@ -107,35 +105,6 @@
   return Out;
 }
 
-/// Parses JSON and notes fields that appear twice, of which the JSON library
-/// would silently keep the last.
-Json parseStrictly(const std::string &Text, MistakeList &Mistakes) {
-  std::vector<std::set<std::string>> Seen;
-  bool TooDeep = false;
-  auto Check = [&](int Depth, Json::parse_event_t Event, Json &Parsed) {
-    using Kind = Json::parse_event_t;
-    TooDeep = TooDeep || Depth > MaxDepth;
-    if (TooDeep)
-      return false;
-    if (Event == Kind::object_start)
-      Seen.emplace_back();
-    if (Event == Kind::object_end)
-      Seen.pop_back();
-    if (Event == Kind::key &&
-        !Seen.back().insert(Parsed.get<std::string>()).second)
-      Mistakes.add(Parsed.get<std::string>().substr(0, 40),
-                   "appears twice in one object");
-    return true;
-  };
-  Json Out = Json::parse(Text, Check, false);
-  if (TooDeep)
-    throw InvalidInput("document", "is nested deeper than " +
-                                       std::to_string(MaxDepth) + " levels");
-  if (Out.is_discarded())
-    throw InvalidInput("document", "is not valid JSON in UTF-8");
-  return Out;
-}
-
 Document read(const Json &Root, const DocumentBounds &Bounds,
               MistakeList &Mistakes) {
   ObjectReader Reader(Root, "", Mistakes);
@@ -171,8 +140,11 @@
 
 Document parseDocument(const std::string &Text, const DocumentBounds &Bounds) {
   checkSize(Text.size(), Bounds);
+  std::vector<FieldError> Repeated;
+  Json Root = parseStrictJson(Text, "document", Repeated);
   MistakeList Mistakes;
-  Json Root = parseStrictly(Text, Mistakes);
+  for (FieldError &Row : Repeated)
+    Mistakes.add(std::move(Row.Field), std::move(Row.Message));
   Document Out = read(Root, Bounds, Mistakes);
   // The canonical text also holds the fields that the input left out.
   checkSize(serialise(Out).size(), Bounds);
--- a/src/teaselwalk/operators/json_api.cpp
+++ b/src/teaselwalk/operators/json_api.cpp
@@ -1,5 +1,7 @@
 #include "json_api.hpp"
 
+#include "teaselwalk/config/strict_json.hpp"
+
 #include "change_request.hpp"
 
 #include <algorithm>
@@ -27,7 +29,7 @@
 class Envelope {
 public:
   explicit Envelope(const std::string &Text)
-      : Body(Json::parse(Text, nullptr, false)) {
+      : Body(config::parseStrictJson(Text, "body", Errors)) {
     if (!Body.is_object())
       throw InvalidInput("body", "must be a JSON object");
   }
@@ -80,9 +82,9 @@
   }
 
 private:
+  std::vector<FieldError> Errors; ///< Before Body, whose parser fills it.
   Json Body;
   std::set<std::string> Known;
-  std::vector<FieldError> Errors;
 };
 
 /// The operator as named in the history: the name that was authenticated, and
--- a/src/teaselwalk/operators/operator_api_test.cpp
+++ b/src/teaselwalk/operators/operator_api_test.cpp
@@ -159,6 +159,16 @@
   for (const char *Body : {"", "[]", "{}", "{\"document\":1}", "\xff"})
     for (const char *Route : {"/v1/config/draft", "/v1/config/apply"})
       EXPECT_EQ(send("POST", Route, Body).Status, 422) << Body;
+  // Copying a deeply nested value would exhaust the stack.
+  std::string Deep(500000, '[');
+  EXPECT_EQ(send("POST", "/v1/config/draft",
+                 R"({"document":{"teams":[)" + Deep + std::string(500000, ']') +
+                     "]}}")
+                .Status,
+            422);
+  EXPECT_EQ(send("POST", "/v1/config/draft", R"({"document":{},"document":{}})")
+                .Status,
+            422);
   EXPECT_EQ(send("GET", "/v1/config/other").Status, 404);
   Backend.Known = nullptr;
   EXPECT_EQ(send("GET", "/v1/config").Status, 503);
