config: fewer copies while a document is read and followed

Cause: every row of a document was copied before it was read, and every patch copied the whole document.

Change: rows are read in place and patches are applied in place.

--- a/src/teaselwalk/config/document_parse.cpp
+++ b/src/teaselwalk/config/document_parse.cpp
@@ -50,7 +50,7 @@
   if (const Json *Limit = Reader.object("limit"))
     Out.Limit =
         readLimit({*Limit, Reader.pathOf("limit"), Mistakes}, Bounds.MaxLimit);
-  auto Keys = Reader.array("keys", 0, Bounds.MaxKeysPerTeam);
+  const Json &Keys = Reader.array("keys", 0, Bounds.MaxKeysPerTeam);
   for (size_t I = 0; I < Keys.size(); ++I) {
     ObjectReader Key(Keys[I], element(Reader.pathOf("keys"), I), Mistakes);
     // Without a dot, because the dot ends the id in the key's text. Not quoted,
@@ -68,7 +68,7 @@
   Queue Out;
   Out.Name = QueueId(Reader.name("name", Bounds.MaxNameBytes));
   Out.Access = Reader.choice("access", QueueAccessNames);
-  auto Teams = Reader.array("teams", 1, Bounds.MaxTeams);
+  const Json &Teams = Reader.array("teams", 1, Bounds.MaxTeams);
   for (size_t I = 0; I < Teams.size(); ++I) {
     bool Valid = Teams[I].is_string() &&
                  isName(Teams[I].get<std::string>(), Bounds.MaxNameBytes, true);
@@ -96,7 +96,7 @@
                           size_t Max, MistakeList &Mistakes,
                           const Function &Read) {
   std::vector<Row> Out;
-  auto Elements = Reader.array(Field, Min, Max);
+  const Json &Elements = Reader.array(Field, Min, Max);
   for (size_t I = 0; I < Elements.size(); ++I) {
     ObjectReader Element(Elements[I], element(Field, I), Mistakes);
     Out.push_back(Read(Element));
--- a/src/teaselwalk/config/head.cpp
+++ b/src/teaselwalk/config/head.cpp
@@ -185,7 +185,7 @@
     Json Content = canonicalOf(Base);
     for (const Change &Row : Head.Changes)
       if (Row.Revision > Base.Revision)
-        Content = Content.patch(Row.Patch);
+        Content.patch_inplace(Row.Patch);
     Next.Content = documentFromJson(Content, Bounds);
   } catch (const Json::exception &) {
     throw Error("the changes up to revision " + std::to_string(Head.Revision) +
--- a/src/teaselwalk/config/object_reader.cpp
+++ b/src/teaselwalk/config/object_reader.cpp
@@ -122,21 +122,21 @@
   return find(Field) ? integer(Field, Min, Max, Unit) : Default;
 }
 
-std::vector<nlohmann::json> ObjectReader::array(const char *Field, size_t Min,
-                                                size_t Max) {
+const nlohmann::json &ObjectReader::array(const char *Field, size_t Min,
+                                          size_t Max) {
+  static const nlohmann::json Empty = nlohmann::json::array();
   const nlohmann::json *Value = find(Field);
   std::string Rule = "must be an array of " + std::to_string(Min) + " to " +
                      std::to_string(Max) + " elements";
   if (!Value || !Value->is_array()) {
     addError(Field, Value, Rule);
-    return {};
-  }
-  if (Value->size() < Min || Value->size() > Max) {
-    Mistakes.add(pathOf(Field),
-                 "has " + std::to_string(Value->size()) + " elements; " + Rule);
-    return {};
+    return Empty;
   }
-  return {Value->begin(), Value->end()};
+  if (Value->size() >= Min && Value->size() <= Max)
+    return *Value;
+  Mistakes.add(pathOf(Field),
+               "has " + std::to_string(Value->size()) + " elements; " + Rule);
+  return Empty;
 }
 
 const nlohmann::json *ObjectReader::object(const char *Field) {
--- a/src/teaselwalk/config/object_reader.hpp
+++ b/src/teaselwalk/config/object_reader.hpp
@@ -50,9 +50,9 @@
                   const char *Unit);
   int64_t integerOr(const char *Field, int64_t Default, int64_t Min,
                     int64_t Max, const char *Unit);
-  /// The elements of an array of at most \p Max elements; empty if there is a
-  /// mistake.
-  std::vector<nlohmann::json> array(const char *Field, size_t Min, size_t Max);
+  /// The array, or an empty one if there is a mistake. Valid as long as the
+  /// object.
+  const nlohmann::json &array(const char *Field, size_t Min, size_t Max);
   /// The object, or null if there is a mistake.
   const nlohmann::json *object(const char *Field);
 
