config: patches follow rows by name

Cause: the library's difference compares array rows by position. Removing the first of 240 teams changed all rows behind it, so config/head grew to the size of the document, and every data centre would read it again with each of the next 32 changes.

Change: patchBetween removes, adds and edits rows by name, and falls back to the library's difference if rows changed their order.

--- a/src/teaselwalk/config/head.cpp
+++ b/src/teaselwalk/config/head.cpp
@@ -2,19 +2,13 @@
 
 #include "teaselwalk/base/error.hpp"
 
+#include "patch.hpp"
+
 namespace teaselwalk::config {
 namespace {
 
 using Json = nlohmann::json;
 
-/// The shorter of the difference and a replacement of the whole, so that one
-/// change is never much larger than the document.
-Json patchBetween(const Json &Old, const Json &New) {
-  Json Steps = Json::diff(Old, New);
-  Json Whole = Json::array({{{"op", "replace"}, {"path", ""}, {"value", New}}});
-  return Steps.dump().size() <= Whole.dump().size() ? Steps : Whole;
-}
-
 /// Text that is not UTF-8 cannot be written as JSON.
 bool isUtf8(const std::string &Text) {
   try {
--- a/src/teaselwalk/config/head_test.cpp
+++ b/src/teaselwalk/config/head_test.cpp
@@ -73,6 +73,33 @@
   EXPECT_EQ(Store.Copies.size(), 1U);
 }
 
+// Guards against a head that grows to the size of the document, which every
+// data centre then reads again with each change.
+TEST(HeadTest, RemovedRowIsASmallChange) {
+  Json Large = exampleJson();
+  for (int I = 0; I < 200; ++I) {
+    Json Team = exampleJson()["teams"][1];
+    Team["name"] = "team-" + std::to_string(I);
+    Large["teams"].insert(Large["teams"].begin(), Team);
+  }
+  History Store;
+  Store.change(documentFromJson(Large));
+  Large["teams"].erase(0);
+  Store.change(documentFromJson(Large));
+  EXPECT_EQ(Store.Head.Changes.back().Patch,
+            Json::parse(R"([{"op":"remove","path":"/teams/0"}])"));
+  Json Added = exampleJson()["teams"][1];
+  Added["name"] = "first";
+  Large["teams"].insert(Large["teams"].begin(), Added);
+  Large["teams"].back()["share"] = 4;
+  Store.change(documentFromJson(Large));
+  EXPECT_EQ(Store.Head.Changes.back().Patch.size(), 2U);
+  std::swap(Large["teams"][0], Large["teams"][1]);
+  Store.change(documentFromJson(Large));
+  Snapshot Reader = Store.All[1];
+  EXPECT_EQ(advance(Reader, Store.Head), AdvanceState::Advanced);
+}
+
 // Guards against a head that the store would refuse, and against dropping
 // changes that no whole copy replaces.
 TEST(HeadTest, LargeChangesAreDroppedBehindACopy) {
