--- a/src/teaselwalk/config/head.cpp
+++ b/src/teaselwalk/config/head.cpp
@@ -2,19 +2,13 @@
 
 #include "teaselwalk/base/error.hpp"
 
+#include "patch.hpp"
+
 namespace teaselwalk::config {
 namespace {
 
 using Json = nlohmann::json;
 
-/// The shorter of the difference and a replacement of the whole, so that one
-/// change is never much larger than the document.
-Json patchBetween(const Json &Old, const Json &New) {
-  Json Steps = Json::diff(Old, New);
-  Json Whole = Json::array({{{"op", "replace"}, {"path", ""}, {"value", New}}});
-  return Steps.dump().size() <= Whole.dump().size() ? Steps : Whole;
-}
-
 /// Text that is not UTF-8 cannot be written as JSON.
 bool isUtf8(const std::string &Text) {
   try {
@@ -162,6 +156,7 @@
   if (Due || !Whole) {
     Out.Head.Copy = Current.Revision;
     Out.CopyBefore = true;
+    Out.ObsoleteCopy = Current.Copy;
   }
   return Out;
 }
@@ -184,7 +179,7 @@
     Json Content = canonicalOf(Base);
     for (const Change &Row : Head.Changes)
       if (Row.Revision > Base.Revision)
-        Content = Content.patch(Row.Patch);
+        Content.patch_inplace(Row.Patch);
     Next.Content = documentFromJson(Content, Bounds);
   } catch (const Json::exception &) {
     throw Error("the changes up to revision " + std::to_string(Head.Revision) +
