--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -11,5 +11,6 @@
 extern const Command SubmitCommand;
 extern const Command StatusCommand;
 extern const Command CancelCommand;
+extern const Command TimelineCommand;
 
 } // namespace teaselwalk::cli
--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -7,8 +7,8 @@
 const std::vector<Command> &commands() {
   // Each row is declared in the file of its command: X_command.cpp.
   static const std::vector<Command> Table = {
-      CheckCommand,  ApplyCommand, SubmitCommand,
-      StatusCommand, CancelCommand, BenchCommand,
+      CheckCommand,  ApplyCommand, SubmitCommand,   StatusCommand,
+      CancelCommand, BenchCommand, TimelineCommand,
   };
   return Table;
 }
