--- a/src/teaselwalk/peers/jsonrpc/batch.cpp
+++ b/src/teaselwalk/peers/jsonrpc/batch.cpp
@@ -2,7 +2,7 @@
 
 #include "json_text.hpp"
 
-#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/client/batchcall.h>
 
 #include <stdexcept>
 #include <utility>
@@ -11,35 +11,18 @@
 namespace jsonrpc {
 namespace {
 
-/// Gives a response that has already arrived to the library's client.
-class ArrivedResponse : public ::jsonrpc::IClientConnector {
-public:
-  explicit ArrivedResponse(const std::string &Text) : Text(Text) {}
-
-  // A stricter exception specification than the base class, whose dynamic one
-  // is deprecated.
-  void SendRPCMessage(const std::string &, // NOLINT: name of the library
-                      std::string &Result) noexcept override {
-    Result = Text;
-  }
-
-private:
-  const std::string &Text;
-};
-
-Reply replyOf(::jsonrpc::BatchResponse &Response, int Number) {
-  Json::Value Id(Number);
+Reply replyOf(const Json::Value &Item) {
   Reply Out;
-  if (Response.getErrorCode(Id) != 0) {
+  const Json::Value &Error = Item["error"];
+  const Json::Value &Result = Item["result"];
+  if (Error.isObject()) {
     Out.State = Reply::Kind::Error;
-    Out.Text = Response.getErrorMessage(Id);
-    return Out;
+    if (Error["message"].isString())
+      Out.Text = Error["message"].asString();
+  } else if (Result.isObject()) {
+    Out.State = Reply::Kind::Result;
+    Out.Text = writeText(Result);
   }
-  Json::Value Result = Response.getResult(Id);
-  if (!Result.isObject())
-    return Out;
-  Out.State = Reply::Kind::Result;
-  Out.Text = writeText(Result);
   return Out;
 }
 
@@ -66,23 +49,26 @@
 
 std::string Batch::text() const { return State->Calls.toString(); }
 
+// The library's client is not used for responses: its functions have exception
+// specifications, and a malformed response, such as one nested too deeply, ends
+// the process.
 std::vector<Reply> decodeReplies(const std::string &Response, size_t Count) {
   std::vector<Reply> Out(Count);
+  Json::Value Items;
   try {
-    // The library numbers the calls of a batch from 1 and assigns replies by
-    // these numbers. The calls' content plays no part in decoding.
-    ::jsonrpc::BatchCall Calls;
-    std::vector<int> Numbers;
-    for (size_t I = 0; I < Count; ++I)
-      Numbers.push_back(Calls.addCall("", Json::Value()));
-    ArrivedResponse Connector(Response);
-    ::jsonrpc::Client Client(Connector);
-    ::jsonrpc::BatchResponse Replies;
-    Client.CallProcedures(Calls, Replies);
-    for (size_t I = 0; I < Count; ++I)
-      Out[I] = replyOf(Replies, Numbers[I]);
+    Items = parseText(Response);
   } catch (const std::exception &) {
-    return std::vector<Reply>(Count);
+    return Out;
+  }
+  if (!Items.isArray())
+    return Out;
+  for (const Json::Value &Item : Items) {
+    // `BatchCall` numbers the calls from 1.
+    if (!Item.isObject() || !Item["id"].isUInt())
+      continue;
+    size_t Number = Item["id"].asUInt();
+    if (Number >= 1 && Number <= Count)
+      Out[Number - 1] = replyOf(Item);
   }
   return Out;
 }
