--- a/src/teaselwalk/peers/peers_test.cpp
+++ b/src/teaselwalk/peers/peers_test.cpp
@@ -189,6 +189,35 @@
     EXPECT_TRUE(Taken[std::get<CallMessage>(B.next().Content).Token]);
 }
 
+// Guards against a limit on the calls that wait for their answer, and against
+// answers assigned to another call when they arrive in another order (I6).
+TEST(PeersTest, ThousandsOfCallsWaitAtOnce) {
+  constexpr size_t Count = 3000;
+  ClientOptions Options;
+  Options.MaxWaitingPerPeer = Count;
+  Peer A("a", Count, Options);
+  Peer B("b", Count, Options);
+  for (size_t I = 0; I < Count; ++I)
+    ASSERT_TRUE(A.Client.send(B.address(), makeCall(I), Duration(60000), {}));
+  std::vector<CallMessage> Waiting;
+  Waiting.reserve(Count);
+  for (size_t I = 0; I < Count; ++I)
+    Waiting.push_back(std::get<CallMessage>(B.next().Content));
+  for (size_t I = Count; I > 0; --I) {
+    AnswerMessage Answer;
+    Answer.Token = Waiting[I - 1].Token;
+    Answer.Answer.Request = Waiting[I - 1].Call.Call.Request;
+    ASSERT_TRUE(B.Client.send(A.address(), Answer, Duration(60000), {}));
+  }
+  std::vector<bool> Seen(Count);
+  for (size_t I = 0; I < Count; ++I) {
+    auto Answer = std::get<AnswerMessage>(A.next().Content);
+    EXPECT_EQ(Answer.Answer.Request.str(), "r" + std::to_string(Answer.Token));
+    EXPECT_FALSE(Seen.at(Answer.Token));
+    Seen[Answer.Token] = true;
+  }
+}
+
 // Guards against unbounded memory for a peer that does not answer.
 TEST(PeersTest, RingOfAPeerIsBounded) {
   SilentServer Silent;
--- a/src/teaselwalk/runtime/timeline_test.cpp
+++ b/src/teaselwalk/runtime/timeline_test.cpp
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+#include <random>
 
 namespace teaselwalk::runtime {
 namespace {
@@ -30,6 +35,51 @@
             (std::vector<std::string>{"b1", "a1", "b2", "a2"}));
 }
 
+/// Random steps of three processes with wrong clocks: each step is an event, or
+/// a message from one process to another with an event before and after it.
+void checkRandomHistory(uint64_t Seed) {
+  std::mt19937_64 Random(Seed);
+  constexpr size_t Count = 3;
+  std::deque<TimelineBuffer> Buffers;
+  int64_t Skew[Count] = {};
+  for (size_t I = 0; I < Count; ++I) {
+    Buffers.emplace_back(ProcessId(std::string(1, static_cast<char>('a' + I))),
+                         1000);
+    Skew[I] = static_cast<int64_t>(Random() % 10000);
+  }
+  std::vector<std::pair<std::string, std::string>> CauseAndEffect;
+  auto Record = [&](size_t Process, int64_t Now) {
+    Buffers[Process].add(EventName::TaskStarted, {}, Now + Skew[Process]);
+    return describe(Buffers[Process].after(0, 1000)).back();
+  };
+  for (int64_t Now = 0; Now < 100; Now += static_cast<int64_t>(Random() % 3)) {
+    size_t From = Random() % Count;
+    size_t To = Random() % Count;
+    std::string Cause = Record(From, Now);
+    Buffers[To].observe(Buffers[From].stamp(Now + Skew[From]), Now + Skew[To]);
+    CauseAndEffect.emplace_back(Cause, Record(To, Now));
+  }
+  std::vector<std::vector<TimelineEvent>> Parts;
+  Parts.reserve(Buffers.size());
+  for (const TimelineBuffer &Buffer : Buffers)
+    Parts.push_back(Buffer.after(0, 1000));
+  std::map<std::string, size_t> Position;
+  for (const std::string &Event : describe(mergeTimelines(Parts)))
+    Position.emplace(Event, Position.size());
+  for (const auto &[Cause, Effect] : CauseAndEffect)
+    RC_ASSERT(Position.at(Cause) < Position.at(Effect));
+}
+
+// Guards against histories in which an effect is shown before its cause.
+TEST(TimelineTest, MergeRespectsCauseAndEffectInAnyHistory) {
+  rc::detail::TestParams Params;
+  Params.seed = 20261204;
+  Params.maxSuccess = 50;
+  auto Result = rc::detail::checkTestable(checkRandomHistory,
+                                          rc::detail::TestMetadata(), Params);
+  EXPECT_TRUE(Result.is<rc::detail::SuccessResult>()) << Result;
+}
+
 // Guards against events that are listed twice when the same process is asked
 // twice.
 TEST(TimelineTest, MergeListsAnEventOnce) {
