--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -14,5 +14,6 @@
 extern const Command StatusCommand;
 extern const Command CancelCommand;
 extern const Command KeyCommand;
+extern const Command TimelineCommand;
 
 } // namespace teaselwalk::cli
--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -6,8 +6,8 @@
 
 const std::vector<Command> &commands() {
   static const std::vector<Command> Table = {
-      ServeCommand,  CheckCommand,  ApplyCommand, KeyCommand,   SubmitCommand,
-      StatusCommand, CancelCommand, FakeCommand,  BenchCommand,
+      ServeCommand,  CheckCommand,  ApplyCommand,    KeyCommand,  SubmitCommand,
+      StatusCommand, CancelCommand, TimelineCommand, FakeCommand, BenchCommand,
   };
   return Table;
 }
