--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -1,12 +1,15 @@
 #include "teaselwalk/cli/commands.hpp"
 
-namespace teaselwalk::cli {
+#include "command_rows.hpp"
 
-// Each row is defined in the file of its command: X_command.cpp.
-extern const Command FakeCommand;
+namespace teaselwalk::cli {
 
 const std::vector<Command> &commands() {
-  static const std::vector<Command> Table = {FakeCommand};
+  // Each row is declared in the file of its command: X_command.cpp.
+  static const std::vector<Command> Table = {
+      CheckCommand,  ApplyCommand, SubmitCommand, StatusCommand,
+      CancelCommand, BenchCommand, FakeCommand,
+  };
   return Table;
 }
 
--- a/src/teaselwalk/cli/fake_command.cpp
+++ b/src/teaselwalk/cli/fake_command.cpp
@@ -1,10 +1,11 @@
 #include "teaselwalk/base/error.hpp"
-#include "teaselwalk/cli/command.hpp"
 #include "teaselwalk/fakes/fake_endpoint.hpp"
 #include "teaselwalk/fakes/fake_store.hpp"
 #include "teaselwalk/fakes/fake_vm_list.hpp"
 #include "teaselwalk/protocol/vm_json.hpp"
 
+#include "command_rows.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -130,7 +131,6 @@
 
 } // namespace
 
-extern const Command FakeCommand;
 const Command FakeCommand = {"fake", FakeUsage, runFake};
 
 } // namespace teaselwalk::cli
