fakes, cli: count of lost, doubled and falsely answered requests

Cause: the demo must count from what endpoints ran and callers were told, not from the scheduler's own word. Change: countUp compares submissions with run logs; teaselwalk fake account prints the result and exits with 1 unless it is clean. The run log carries a mark, the result that the task was asked to produce, so that a run of a refused job is found although its id is unknown.

--- a/include/teaselwalk/fakes/endpoint_model.hpp
+++ b/include/teaselwalk/fakes/endpoint_model.hpp
@@ -45,6 +45,7 @@
   std::optional<TimePoint> End; ///< Nothing while it runs.
   RunEnd Ended = RunEnd::Running;
   bool WhileLeaving = false; ///< Started after the endpoint began to leave.
+  std::string Mark; ///< Up to 128 bytes of the result that it produces.
 };
 
 /// The end of an attempt, for whoever waits for it.
--- a/src/teaselwalk/cli/fake_command.cpp
+++ b/src/teaselwalk/cli/fake_command.cpp
@@ -1,16 +1,19 @@
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/fakes/account.hpp"
 #include "teaselwalk/fakes/fake_endpoint.hpp"
 #include "teaselwalk/fakes/fake_store.hpp"
 #include "teaselwalk/fakes/fake_vm_list.hpp"
 #include "teaselwalk/protocol/vm_json.hpp"
 
 #include "command_rows.hpp"
+#include "remote.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <memory>
 
 namespace teaselwalk::cli {
@@ -21,6 +24,11 @@
 
 Usage:
   teaselwalk fake (store | vms | endpoints) [options]
+  teaselwalk fake account SUBMISSIONS LOGS
+
+The last form compares what callers were told with what endpoints ran and exits
+with 1 if requests were lost, run twice or answered falsely. SUBMISSIONS is a
+JSON array of requests with their answers, LOGS one of answers to GET /ran.
 
 Options:
   -h --help           Shows this text.
@@ -121,7 +129,27 @@
   return ExitOk;
 }
 
+int runAccount(const Arguments &Args) {
+  fakes::Account Total = fakes::countUp(
+      fakes::parseSubmissions(readFile(Args.at("SUBMISSIONS").asString())),
+      fakes::parseRunLogs(readFile(Args.at("LOGS").asString())));
+  for (const std::string &Fault : Total.Faults)
+    std::cout << "fault: " << Fault << '\n';
+  if (Total.MayHaveRun > 0)
+    std::cout << Total.MayHaveRun
+              << " may have run: the connection broke and the request is not "
+                 "idempotent\n";
+  if (Total.Repeated > 0)
+    std::cout << Total.Repeated << " tasks needed more than one attempt\n";
+  std::cout << Total.Submitted << " submitted, " << Total.Answered
+            << " answered, " << Total.NotRun << " not run, " << Total.Lost
+            << " lost, " << Total.RunTwice << " run twice\n";
+  return fakes::isClean(Total) ? ExitOk : ExitFailure;
+}
+
 int runFake(const Arguments &Args) {
+  if (Args.at("account").asBool())
+    return runAccount(Args);
   if (Args.at("store").asBool())
     return runSingle<fakes::FakeStore>(Args);
   if (Args.at("vms").asBool())
--- a/src/teaselwalk/fakes/endpoint_model.cpp
+++ b/src/teaselwalk/fakes/endpoint_model.cpp
@@ -23,6 +23,8 @@
   return {Id.Task.str(), Id.Number};
 }
 
+constexpr size_t MaxMarkBytes = 128;
+
 /// Bounded by a week, so that time points cannot overflow.
 Duration leaseOf(Duration Asked) {
   return std::clamp(Asked, Duration(0), Duration(604800000));
@@ -168,7 +170,7 @@
   if (Script.RunTime)
     Value.End = Now + *Script.RunTime;
   Value.Ok = !Script.Fail;
-  Value.Result = std::move(Script.Result);
+  Value.Result = Script.Result;
   if (Options.FailAll) {
     Value.End = Now;
     Value.Ok = false;
@@ -176,7 +178,8 @@
   }
   Value.LogIndex = Log.size();
   Log.push_back({Command.Id, Command.Team, Command.Size, Command.Owner, Now,
-                 std::nullopt, RunEnd::Running, Leaving});
+                 std::nullopt, RunEnd::Running, Leaving,
+                 Script.Result.substr(0, MaxMarkBytes)});
   InUse += Command.Size;
   for (int64_t Resources::*Field : ResourceFields)
     Peak.Largest.*Field = std::max(Peak.Largest.*Field, InUse.*Field);
--- a/src/teaselwalk/fakes/fake_endpoint.cpp
+++ b/src/teaselwalk/fakes/fake_endpoint.cpp
@@ -26,6 +26,11 @@
   }
 }
 
+/// Marks in the run log may be cut within a character.
+std::string textOf(const json &Json) {
+  return Json.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 http::Response toHttp(const StaleEpoch &Value) {
   return {409, json(Value).dump()};
 }
@@ -86,7 +91,7 @@
   Model.advance(Host.now());
   answerWaiting();
   if (Path == "/ran") {
-    Answer.send({200, runLogJson(Model, Host.now()).dump()});
+    Answer.send({200, textOf(runLogJson(Model, Host.now()))});
   } else if (Path == "/peak") {
     Answer.send({200, peakJson(Model).dump()});
   } else if (Path == "/leaving" && Message.Method == "PUT") {
--- a/src/teaselwalk/fakes/run_log_json.cpp
+++ b/src/teaselwalk/fakes/run_log_json.cpp
@@ -18,7 +18,8 @@
           {"start_ms", millisOf(Record.Start)},
           {"end_ms", Record.End ? json(millisOf(*Record.End)) : json(nullptr)},
           {"ended", nameOf(RunEndNames, Record.Ended)},
-          {"while_leaving", Record.WhileLeaving}};
+          {"while_leaving", Record.WhileLeaving},
+          {"mark", Record.Mark}};
 }
 
 } // namespace
