--- a/include/teaselwalk/engine/event.hpp
+++ b/include/teaselwalk/engine/event.hpp
@@ -85,12 +85,6 @@
   protocol::Heartbeat Beat;
 };
 
-/// A peer's answer to a heartbeat of this process.
-struct HeartbeatAnswered {
-  TimePoint SentAt; ///< When the heartbeat that it answers was sent.
-  protocol::Heartbeat Beat;
-};
-
 /// A call that a peer passed on. The answer goes back to the peer.
 struct PeerCallReceived {
   protocol::Address From;
@@ -126,10 +120,10 @@
 /// Time has passed. Sent at least every `EngineOptions::TickInterval`.
 struct Tick {};
 
-using Event = std::variant<CallReceived, JobReceived, JobQuery, JobCancel,
-                           StatusQuery, EndpointReplied, StoreReplied,
-                           VmListReceived, HeartbeatReceived, HeartbeatAnswered,
-                           PeerCallReceived, PeerCallAnswered, PeerCallFailed,
-                           ProposalReceived, DrainRequested, Tick>;
+using Event =
+    std::variant<CallReceived, JobReceived, JobQuery, JobCancel, StatusQuery,
+                 EndpointReplied, StoreReplied, VmListReceived,
+                 HeartbeatReceived, PeerCallReceived, PeerCallAnswered,
+                 PeerCallFailed, ProposalReceived, DrainRequested, Tick>;
 
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -57,17 +57,26 @@
 }
 
 void Engine::on(const HeartbeatReceived &Event, TimePoint Now) {
-  Members.onHeartbeat(Event.Beat, Now);
-}
-
-void Engine::on(const HeartbeatAnswered &Event, TimePoint Now) {
-  Members.onHeartbeat(Event.Beat, Now);
   const protocol::Heartbeat &Beat = Event.Beat;
+  Members.onHeartbeat(Beat, Now);
+  if (!Beat.EchoOf.empty())
+    return takeEcho(Beat, Now);
+  protocol::Heartbeat Answer = heartbeat(Now);
+  Answer.EchoOf = Beat.From;
+  Answer.EchoStamp = Beat.Stamp;
+  Out.emit(SendHeartbeat{Beat.At, std::move(Answer)});
+}
+
+void Engine::takeEcho(const protocol::Heartbeat &Beat, TimePoint Now) {
+  TimePoint SentAt = timeAt(Beat.EchoStamp);
+  // An echo of an earlier incarnation refers to another clock.
+  if (Beat.EchoOf != Options.Self || SentAt > Now)
+    return;
   // A negative age marks a document that was never confirmed.
   if (Beat.Revision > 0 && Beat.DocumentAge.count() >= 0)
-    Keeper.onPeer(Beat.Revision, Beat.DocumentAge, Event.SentAt);
+    Keeper.onPeer(Beat.Revision, Beat.DocumentAge, SentAt);
   for (const protocol::Attestation &Row : Beat.Attestations)
-    Keeper.freshness().onAttestation(Row, Event.SentAt);
+    Keeper.freshness().onAttestation(Row, SentAt);
 }
 
 void Engine::on(const ProposalReceived &Event, TimePoint Now) {
@@ -154,6 +163,7 @@
   Beat.Revision = Keeper.revision();
   Beat.DocumentAge = Keeper.freshness().age(Now).value_or(Duration(-1));
   Beat.Attestations = Keeper.freshness().attestations(Now);
+  Beat.Stamp = Now.time_since_epoch().count();
   for (const auto &Row : Workers) {
     if (!Row.second->hasAuthority(Now))
       continue;
--- a/src/teaselwalk/entry/engine_loop.cpp
+++ b/src/teaselwalk/entry/engine_loop.cpp
@@ -62,20 +62,6 @@
 void EngineLoop::publish(TimePoint Now) {
   Ready = Core.isReady(Now);
   Drained = Core.isDrained(Now);
-  std::lock_guard<std::mutex> Lock(Mutex);
-  Beat = Core.heartbeat(Now);
-  BeatAt = Now;
-}
-
-protocol::Heartbeat EngineLoop::heartbeat(TimePoint Now) const {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  protocol::Heartbeat Value = Beat;
-  Duration Since = withDrift(Now - BeatAt);
-  if (Value.DocumentAge.count() >= 0)
-    Value.DocumentAge += Since;
-  for (protocol::Attestation &Row : Value.Attestations)
-    Row.Age += Since;
-  return Value;
 }
 
 } // namespace teaselwalk::entry
--- a/src/teaselwalk/entry/process.cpp
+++ b/src/teaselwalk/entry/process.cpp
@@ -6,6 +6,8 @@
 #include "teaselwalk/endpoints/endpoint_client.hpp"
 #include "teaselwalk/entry/engine_loop.hpp"
 #include "teaselwalk/http/server.hpp"
+#include "teaselwalk/peers/client.hpp"
+#include "teaselwalk/peers/server.hpp"
 #include "teaselwalk/platform/store_client.hpp"
 #include "teaselwalk/platform/vm_list_client.hpp"
 #include "teaselwalk/runtime/clock.hpp"
@@ -23,6 +25,7 @@
 constexpr size_t TimelineCapacity = 20000;
 constexpr Duration ExpireInterval{500};
 constexpr Duration DrainPoll{20};
+constexpr Duration PeerTimeout{1000};
 
 http::ServerOptions serverOptions(const settings::Settings &Settings,
                                   uint16_t Port) {
@@ -32,6 +35,13 @@
   return Options;
 }
 
+peers::ServerOptions peerOptions(const settings::Settings &Settings) {
+  peers::ServerOptions Options;
+  Options.Ip = Settings.Ip;
+  Options.Port = Settings.PeerPort;
+  return Options;
+}
+
 runtime::LogOptions logOptions(const settings::Settings &Settings) {
   runtime::LogOptions Options;
   Options.File = Settings.LogFile;
@@ -56,7 +66,12 @@
       : Settings(Given), Self(makeProcessId(Given.Name, Entropy)),
         Timeline(Self, TimelineCapacity), Log(Threads, logOptions(Given)),
         Store(Sender, Given.Store), VmList(Sender, Given.VmList),
-        Endpoints(Sender), Peers(Given.Ip, Given.PeerPort),
+        Endpoints(Sender),
+        Peers(
+            peerOptions(Given),
+            [this](const peers::Envelope &Message) { return take(Message); },
+            Timeline, Registry),
+        ToPeers({}, Self, {Given.Ip, Peers.port()}, Timeline, Registry),
         Loop(
             toOptions(Given, Self, {Given.Ip, Peers.port()}, Entropy()),
             [this](engine::Action &&Step) { perform(std::move(Step)); },
@@ -71,7 +86,12 @@
             }) {
     Threads.start("client",
                   {[this] { Sender.run(); }, [this] { Sender.stop(); }});
+    Threads.start("peer-http", {[this] { ToPeers.runTransport(); },
+                                [this] { ToPeers.stop(); }});
+    Threads.start("peer-sender", {[this] { ToPeers.runSender(); },
+                                  [this] { ToPeers.stop(); }});
     Threads.start("engine", {[this] { Loop.run(); }, [this] { Loop.stop(); }});
+    Threads.start("peers", {[this] { Peers.run(); }, [this] { Peers.stop(); }});
     Threads.start("callers",
                   {[this] { Callers.run(); }, [this] { Callers.stop(); }});
   }
@@ -144,6 +164,52 @@
         Loop.deliver(engine::VmListReceived{std::move(*List)});
     });
   }
+  void on(engine::SendHeartbeat &&Step) {
+    ToPeers.send(Step.To, peers::HeartbeatMessage{std::move(Step.Beat)},
+                 PeerTimeout, [](const peers::SendResult &) {});
+  }
+  void on(engine::ForwardCall &&Step) {
+    engine::CommandId Command = Step.Command;
+    bool IsQueued = ToPeers.send(
+        Step.To, peers::CallMessage{Command, std::move(Step.Forwarded)},
+        PeerTimeout, [this, Command](const peers::SendResult &Result) {
+          if (Result.State == protocol::Delivery::Answered && Result.Taken)
+            return; // The answer is a message of its own.
+          failForwarded(Command, Result.State);
+        });
+    if (!IsQueued)
+      failForwarded(Command, protocol::Delivery::NotSent);
+  }
+  void on(engine::AnswerPeerCall &&Step) {
+    ToPeers.send(Step.To,
+                 peers::AnswerMessage{Step.PeerToken, std::move(Step.Answer)},
+                 PeerTimeout, [](const peers::SendResult &) {});
+  }
+  void on(engine::AnswerProposal && /*Step*/) {}
+
+  /// A call that the peer answered without taking it did not reach its engine.
+  void failForwarded(engine::CommandId Command, protocol::Delivery State) {
+    if (State == protocol::Delivery::Answered)
+      State = protocol::Delivery::NotSent;
+    Loop.deliver(engine::PeerCallFailed{Command, State});
+  }
+
+  /// Hands a peer's message to the engine; false if it has no room for it.
+  bool take(const peers::Envelope &Message) {
+    if (const auto *Beat =
+            std::get_if<peers::HeartbeatMessage>(&Message.Content))
+      return Loop.offer(engine::HeartbeatReceived{Beat->Beat});
+    if (const auto *Call = std::get_if<peers::CallMessage>(&Message.Content))
+      return Loop.offer(
+          engine::PeerCallReceived{Message.ReplyTo, Call->Token, Call->Call});
+    if (const auto *Reply =
+            std::get_if<peers::AnswerMessage>(&Message.Content)) {
+      Loop.deliver(engine::PeerCallAnswered{Reply->Token, Reply->Answer});
+      return true;
+    }
+    return false;
+  }
+
   void on(engine::RecordEvent &&Step) {
     runtime::Fields Values;
     for (auto &Row : Step.Fields)
@@ -163,6 +229,8 @@
   platform::StoreClient Store;
   platform::VmListClient VmList;
   endpoints::EndpointClient Endpoints;
+  peers::PeerServer Peers;
+  peers::PeerClient ToPeers;
   EngineLoop Loop;
   callers::Api Api;
   http::Server Callers;
--- a/src/teaselwalk/protocol/peer.cpp
+++ b/src/teaselwalk/protocol/peer.cpp
@@ -34,7 +34,10 @@
           {"document_age_ms", Value.DocumentAge.count()},
           {"shards", Value.Shards},
           {"free", Value.Free},
-          {"attestations", std::move(Attestations)}};
+          {"attestations", std::move(Attestations)},
+          {"stamp", Value.Stamp},
+          {"echo_of", Value.EchoOf.str()},
+          {"echo_stamp", Value.EchoStamp}};
 }
 
 void from_json(const nlohmann::json &Json, Heartbeat &Value) {
@@ -47,6 +50,9 @@
   Value.DocumentAge = durationAt(Json, "document_age_ms");
   Json.at("shards").get_to(Value.Shards);
   Json.at("free").get_to(Value.Free);
+  Json.at("stamp").get_to(Value.Stamp);
+  readId(Json, "echo_of", Value.EchoOf);
+  Json.at("echo_stamp").get_to(Value.EchoStamp);
   Value.Attestations.clear();
   for (const nlohmann::json &Row : Json.at("attestations")) {
     Attestation Item;
