scripts: demo runs to its end

Cause: settings of an entry process are in tables. Change: the settings file has tables process and platform.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -137,12 +137,15 @@
 # start_entry NAME: NAME is DATA_CENTRE-entry-NUMBER.
 start_entry() {
   cat >"$run/$1.toml" <<EOF
+[process]
 name = "$1"
 data_centre = "${1%-entry-*}"
 ip = "127.0.0.1"
 caller_port = 0
 operator_port = 0
 peer_port = 0
+
+[platform]
 store = "$store"
 vm_list = "$vm_list"
 EOF
