--- a/src/teaselwalk/engine/world_test.hpp
+++ b/src/teaselwalk/engine/world_test.hpp
@@ -55,7 +55,9 @@
   /// Runs until every shard has an owner with authority, and then until the
   /// owners have claimed their allowances.
   bool settle() {
-    return runUntil([&] { return allOwned(); }, Duration(30000));
+    bool IsOwned = runUntil([&] { return allOwned(); }, Duration(30000));
+    runFor(Duration(3000));
+    return IsOwned;
   }
   bool allOwned() const;
 
