entry: operators' API served by the entry process

Cause: the configuration could be changed only by a write into the store. Change: the operators' port with drafts, apply, history and console; proposals go to the engine and are written by compare-and-swap on the head.

--- a/include/teaselwalk/engine/document_keeper.hpp
+++ b/include/teaselwalk/engine/document_keeper.hpp
@@ -28,10 +28,9 @@
   /// A peer answered that it confirmed \p Revision \p Age ago.
   void onPeer(uint64_t Revision, Duration Age, TimePoint BeforeRequest);
 
-  /// Writes the document of \p Change as the next revision and answers with an
+  /// Writes the head of \p Change as the next revision and answers with an
   /// `AnswerProposal` action.
-  void propose(const ProposalReceived &Change, int64_t WallClockMs,
-               TimePoint Now);
+  void propose(const ProposalReceived &Change, TimePoint Now);
 
 private:
   void readHead(TimePoint Now);
--- a/include/teaselwalk/engine/engine.hpp
+++ b/include/teaselwalk/engine/engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "teaselwalk/cluster/membership.hpp"
+#include "teaselwalk/config/describe.hpp"
 #include "teaselwalk/engine/allowance_watch.hpp"
 #include "teaselwalk/engine/commands.hpp"
 #include "teaselwalk/engine/document_keeper.hpp"
@@ -30,8 +31,11 @@
 
   void handle(const Event &Value, TimePoint Now, Actions &Out);
 
-  /// Wall clock for notes that people read; milliseconds since 1970.
-  void setWallClock(int64_t Milliseconds) { WallClockMs = Milliseconds; }
+  const DataCentreId &dataCentre() const { return Options.DataCentre; }
+  /// The document in force and its head.
+  const DocumentKeeper &documents() const { return Keeper; }
+  /// What the teams have running on the shards of this process.
+  config::RunningUsage running() const;
 
   /// True once a drain has ended: every caller is answered and every shard
   /// handed over or given up.
@@ -96,7 +100,6 @@
   uint64_t AppliedRevision = 0;
   TimePoint NextVmList;
   TimePoint NextHeartbeat;
-  int64_t WallClockMs = 0;
   bool Draining = false;
   bool Releasing = false;
   TimePoint ReleasedAt; ///< Start of the hand-over.
--- a/include/teaselwalk/engine/event.hpp
+++ b/include/teaselwalk/engine/event.hpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/id.hpp"
 #include "teaselwalk/base/verdict.hpp"
+#include "teaselwalk/config/head.hpp"
 #include "teaselwalk/protocol/caller.hpp"
 #include "teaselwalk/protocol/delivery.hpp"
 #include "teaselwalk/protocol/endpoint.hpp"
@@ -104,14 +105,11 @@
   protocol::Delivery State = protocol::Delivery::Lost;
 };
 
-/// An operator's new head record, to be written if the head still has
-/// `BaseRevision`.
+/// An operators' change, to be written if the head still has `BaseRevision`.
 struct ProposalReceived {
   Token From = 0;
   uint64_t BaseRevision = 0;
-  std::string DocumentJson;
-  std::string Who;
-  std::string Why;
+  config::NextHead Next;
 };
 
 /// Graceful shutdown was requested.
--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cluster/allowance_ledger.hpp"
 #include "teaselwalk/cluster/shard_ownership.hpp"
 #include "teaselwalk/cluster/takeover_guard.hpp"
+#include "teaselwalk/config/describe.hpp"
 #include "teaselwalk/config/document.hpp"
 #include "teaselwalk/engine/commands.hpp"
 #include "teaselwalk/engine/done_log.hpp"
@@ -84,6 +85,8 @@
   bool released() const { return Owner.released(); }
 
   ShardStatus status(TimePoint Now) const;
+  /// Adds what the teams have running on this shard.
+  void addRunning(config::RunningUsage &Sum) const;
 
 private:
   /// How an attempt ended.
--- a/include/teaselwalk/entry/engine_loop.hpp
+++ b/include/teaselwalk/entry/engine_loop.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "teaselwalk/engine/engine.hpp"
+#include "teaselwalk/operators/backend.hpp"
 #include "teaselwalk/runtime/bounded_ring.hpp"
 #include "teaselwalk/runtime/metrics.hpp"
 
 #include <atomic>
 #include <functional>
+#include <memory>
+#include <mutex>
 
 namespace teaselwalk::entry {
 
@@ -28,6 +31,13 @@
   void run();
   void stop();
 
+  /// The configuration as of the last tick; null before the first document.
+  std::shared_ptr<const operators::CurrentConfig> config() const;
+  /// What the teams have running here, as of the last second.
+  config::RunningUsage running() const;
+  /// Revision and age of the document at \p Now.
+  operators::InForce inForce(TimePoint Now) const;
+
   bool isReady() const { return Ready; }
   bool isDrained() const { return Drained; }
 
@@ -48,6 +58,12 @@
   engine::Actions Steps;
   std::atomic<bool> Ready{false};
   std::atomic<bool> Drained{false};
+  mutable std::mutex Mutex; ///< Guards what follows.
+  std::shared_ptr<const operators::CurrentConfig> Published;
+  config::RunningUsage Usage;
+  operators::InForce Follows;
+  TimePoint PublishedAt;
+  TimePoint NextUsage;
 };
 
 } // namespace teaselwalk::entry
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -117,28 +117,26 @@
   Freshness.onPeer(Revision, Age, BeforeRequest);
 }
 
-void DocumentKeeper::propose(const ProposalReceived &Change,
-                             int64_t WallClockMs, TimePoint Now) {
-  if (Change.BaseRevision != Current.Revision ||
-      Head.Revision != Current.Revision) {
+void DocumentKeeper::propose(const ProposalReceived &Change, TimePoint Now) {
+  bool IsCurrent = Change.BaseRevision == Current.Revision &&
+                   Head.Revision == Current.Revision &&
+                   Change.Next.Head.Revision == Current.Revision + 1;
+  if (!IsCurrent) {
     NextRead = Now;
     return answer(Change.From, ProposalOutcome::Conflict);
   }
-  config::Document Next = config::parseDocument(Change.DocumentJson);
-  config::NextHead Record = config::nextHead(
-      Head, Current, Next, {Change.Who, WallClockMs, Change.Why});
-  if (!Record.CopyBefore)
-    return writeHead(Record, Change.From);
-  writeDurably(
-      Out, config::documentKey(Current.Revision),
-      config::serialise(Current.Content), 0, Options.StoreTimeout,
-      [this, Record, From = Change.From](const WriteResult &Result, TimePoint) {
-        bool Present = Result.Outcome == WriteOutcome::Applied ||
-                       Result.Outcome == WriteOutcome::Conflict;
-        if (!Present)
-          return answer(From, ProposalOutcome::StoreUnavailable);
-        writeHead(Record, From);
-      });
+  if (!Change.Next.CopyBefore)
+    return writeHead(Change.Next, Change.From);
+  writeDurably(Out, config::documentKey(Current.Revision),
+               config::serialise(Current.Content), 0, Options.StoreTimeout,
+               [this, Next = Change.Next,
+                From = Change.From](const WriteResult &Result, TimePoint) {
+                 bool Present = Result.Outcome == WriteOutcome::Applied ||
+                                Result.Outcome == WriteOutcome::Conflict;
+                 if (!Present)
+                   return answer(From, ProposalOutcome::StoreUnavailable);
+                 writeHead(Next, From);
+               });
 }
 
 void DocumentKeeper::writeHead(const config::NextHead &Next, Token From) {
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -88,7 +88,7 @@
 }
 
 void Engine::on(const ProposalReceived &Event, TimePoint Now) {
-  Keeper.propose(Event, WallClockMs, Now);
+  Keeper.propose(Event, Now);
 }
 
 void Engine::on(const DrainRequested & /*Event*/, TimePoint Now) {
@@ -214,6 +214,13 @@
   return true;
 }
 
+config::RunningUsage Engine::running() const {
+  config::RunningUsage Sum;
+  for (const auto &Row : Workers)
+    Row.second->addRunning(Sum);
+  return Sum;
+}
+
 bool Engine::isReady(TimePoint Now) const {
   if (Draining || AppliedRevision == 0 ||
       !Keeper.freshness().allowed(cluster::Permission::StartTask, Now))
--- a/src/teaselwalk/engine/shard_worker_limits.cpp
+++ b/src/teaselwalk/engine/shard_worker_limits.cpp
@@ -54,6 +54,12 @@
   applyAllowances(Now);
 }
 
+void ShardWorker::addRunning(config::RunningUsage &Sum) const {
+  for (const auto &Row : Teams)
+    if (const schedule::TeamAccount *Account = Queue.team(Row.first))
+      Sum[Row.first] += Account->Charged;
+}
+
 Resources ShardWorker::unknownUse(TimePoint Now) const {
   Resources Largest;
   for (const auto &Row : Capacities)
--- a/src/teaselwalk/entry/engine_loop.cpp
+++ b/src/teaselwalk/entry/engine_loop.cpp
@@ -6,6 +6,14 @@
 #include <utility>
 
 namespace teaselwalk::entry {
+namespace {
+
+constexpr Duration UsageInterval{1000};
+
+/// Shown for a document that was never confirmed.
+constexpr Duration UnknownAge{86400000};
+
+} // namespace
 
 EngineLoop::EngineLoop(const engine::EngineOptions &Options, Perform Do,
                        runtime::Metrics &Registry)
@@ -48,7 +56,6 @@
 
 void EngineLoop::handle(const engine::Event &Value) {
   auto Start = std::chrono::steady_clock::now();
-  Core.setWallClock(runtime::wallMillis());
   Core.handle(Value, runtime::steadyNow(), Steps);
   std::chrono::duration<double> Spent =
       std::chrono::steady_clock::now() - Start;
@@ -62,6 +69,40 @@
 void EngineLoop::publish(TimePoint Now) {
   Ready = Core.isReady(Now);
   Drained = Core.isDrained(Now);
+  const engine::DocumentKeeper &Keeper = Core.documents();
+  auto Age = Keeper.freshness().age(Now);
+  std::lock_guard<std::mutex> Lock(Mutex);
+  PublishedAt = Now;
+  Follows.DataCentre = Core.dataCentre();
+  Follows.Revision = Keeper.revision();
+  Follows.Age = Age.value_or(UnknownAge);
+  bool IsNew =
+      Keeper.revision() > 0 &&
+      (!Published || Published->Snapshot.Revision != Keeper.revision());
+  if (IsNew && Keeper.head().Revision == Keeper.revision())
+    Published = std::make_shared<operators::CurrentConfig>(
+        operators::CurrentConfig{Keeper.head(), Keeper.snapshot()});
+  if (Now < NextUsage)
+    return;
+  NextUsage = Now + UsageInterval;
+  Usage = Core.running();
+}
+
+std::shared_ptr<const operators::CurrentConfig> EngineLoop::config() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Published;
+}
+
+config::RunningUsage EngineLoop::running() const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Usage;
+}
+
+operators::InForce EngineLoop::inForce(TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  operators::InForce Value = Follows;
+  Value.Age += Now - PublishedAt;
+  return Value;
 }
 
 } // namespace teaselwalk::entry
--- a/src/teaselwalk/entry/process.cpp
+++ b/src/teaselwalk/entry/process.cpp
@@ -1,11 +1,14 @@
 #include "teaselwalk/entry/process.hpp"
 
+#include "config_gateway.hpp"
 #include "convert.hpp"
 
 #include "teaselwalk/callers/api.hpp"
 #include "teaselwalk/endpoints/endpoint_client.hpp"
 #include "teaselwalk/entry/engine_loop.hpp"
 #include "teaselwalk/http/server.hpp"
+#include "teaselwalk/operators/operator_api.hpp"
+#include "teaselwalk/operators/system.hpp"
 #include "teaselwalk/peers/client.hpp"
 #include "teaselwalk/peers/server.hpp"
 #include "teaselwalk/platform/store_client.hpp"
@@ -35,6 +38,12 @@
   return Options;
 }
 
+http::ServerOptions operatorServer(const settings::Settings &Settings) {
+  http::ServerOptions Options = serverOptions(Settings, Settings.OperatorPort);
+  Options.MaxBodyBytes = operators::MaxRequestBytes;
+  return Options;
+}
+
 peers::ServerOptions peerOptions(const settings::Settings &Settings) {
   peers::ServerOptions Options;
   Options.Ip = Settings.Ip;
@@ -83,7 +92,9 @@
               Api.handle(Message, [To](http::Response Answer) {
                 To.send(std::move(Answer));
               });
-            }) {
+            }),
+        Gateway(Loop), OperatorApi(Gateway, operators::systemOptions()),
+        Operators(operatorServer(Given), OperatorApi.handler()) {
     Threads.start("client",
                   {[this] { Sender.run(); }, [this] { Sender.stop(); }});
     Threads.start("peer-http", {[this] { ToPeers.runTransport(); },
@@ -92,13 +103,17 @@
                                   [this] { ToPeers.stop(); }});
     Threads.start("engine", {[this] { Loop.run(); }, [this] { Loop.stop(); }});
     Threads.start("peers", {[this] { Peers.run(); }, [this] { Peers.stop(); }});
+    Threads.start("operators",
+                  {[this] { Operators.run(); }, [this] { Operators.stop(); }});
     Threads.start("callers",
                   {[this] { Callers.run(); }, [this] { Callers.stop(); }});
   }
 
   ~Impl() { Threads.stopAll(); }
 
-  Ports ports() const { return {Callers.port(), 0, Peers.port()}; }
+  Ports ports() const {
+    return {Callers.port(), Operators.port(), Peers.port()};
+  }
 
   bool drain(Duration Limit) {
     auto End = std::chrono::steady_clock::now() + Limit;
@@ -185,7 +200,7 @@
                  peers::AnswerMessage{Step.PeerToken, std::move(Step.Answer)},
                  PeerTimeout, [](const peers::SendResult &) {});
   }
-  void on(engine::AnswerProposal && /*Step*/) {}
+  void on(engine::AnswerProposal &&Step) { Gateway.answer(Step); }
 
   /// A call that the peer answered without taking it did not reach its engine.
   void failForwarded(engine::CommandId Command, protocol::Delivery State) {
@@ -234,6 +249,9 @@
   EngineLoop Loop;
   callers::Api Api;
   http::Server Callers;
+  ConfigGateway Gateway;
+  operators::OperatorApi OperatorApi;
+  http::Server Operators;
 };
 
 Process::Process(const settings::Settings &Settings)
