schedule: remember sizes that do not fit, fix stops of restarted tasks

Change: ended tasks leave the list of stops; failed sizes stay known until room for them appears; teams that are blocked are skipped; candidates of a cell are spread over its members; the largest fitting task of a team goes first, at most 64 times before an older one.

--- a/include/teaselwalk/schedule/endpoint_table.hpp
+++ b/include/teaselwalk/schedule/endpoint_table.hpp
@@ -66,7 +66,7 @@
   void hold(Index At, const Resources &Amount);
   void unhold(Index At, const Resources &Amount);
   /// Undo `hold` of \p Amount on each of \p Places. No room appears that was
-  /// not there before the holds, so `roomVersion` stays the same.
+  /// not there before the holds, so no endpoint counts as grown.
   void unholdTrial(const std::vector<Index> &Places, const Resources &Amount);
 
   /// An open endpoint with \p Need free beside what is held, or nothing.
@@ -86,9 +86,9 @@
   const Resources &totalCapacity() const { return OpenCapacity; }
   Resources totalRoom() const { return OpenCapacity - OpenTaken; }
 
-  /// Grows whenever room appears somewhere. A task that did not fit still does
-  /// not fit while this is the same.
-  uint64_t roomVersion() const { return RoomVersion; }
+  /// Endpoints where room has appeared since `clearGrown`, perhaps repeatedly.
+  const std::vector<Index> &grown() const { return Grown; }
+  void clearGrown() { Grown.clear(); }
   /// Grows when `totalCapacity` changes.
   uint64_t capacityVersion() const { return CapacityVersion; }
 
@@ -120,7 +120,7 @@
   std::map<Resources, int64_t, ResourcesLess> Shapes;
   Resources OpenCapacity;
   Resources OpenTaken;
-  uint64_t RoomVersion = 1;
+  std::vector<Index> Grown;
   uint64_t CapacityVersion = 1;
   PlacementIndex Placement;
 };
--- a/include/teaselwalk/schedule/queue_set.hpp
+++ b/include/teaselwalk/schedule/queue_set.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,35 +26,42 @@
   TaskClass Class = TaskClass::Batch;
   TeamTable::Index Team = 0;
   TimePoint Arrived;
-  TimePoint NextTry;    ///< For gangs: not tried before.
-  Duration TryDelay{0}; ///< For gangs: grows with every failed try.
+  uint32_t Overtaken = 0; ///< Younger units of the class that went before.
+  TimePoint NextTry;      ///< For gangs: not tried before.
+  Duration TryDelay{0};   ///< For gangs: grows with every failed try.
 
   bool isGang() const { return Tasks.size() > 1; }
   Resources total() const;
 };
 
-/// Units of one team and class. Units of the same size form a lane, so that
-/// one unit that does not fit answers for all of its size.
+/// The oldest unit of a lane, with what decides whether it can be placed.
+struct LaneHead {
+  const std::set<UnitId> *Lane = nullptr;
+  Resources Size;
+  Duration RunTime{0};
+  bool Gang = false;
+};
+
+/// Units of one team and class. Units of the same size and declared
+/// run time form a lane, so that one unit that does not fit answers for all.
 class LaneQueue {
 public:
   void insert(const Unit &Value);
   void erase(const Unit &Value);
 
   /// Heads of the lanes, oldest first.
-  const std::map<UnitId, const std::set<UnitId> *> &heads() const {
-    return Heads;
-  }
+  const std::map<UnitId, LaneHead> &heads() const { return Heads; }
 
 private:
-  /// Gangs have a lane each; the second part is then the unit, else 0.
-  using Key = std::pair<Resources, UnitId>;
+  /// Size, declared run time and, for gangs, which have a lane each, the unit.
+  using Key = std::tuple<Resources, Duration, UnitId>;
   struct KeyLess {
     bool operator()(const Key &A, const Key &B) const;
   };
   static Key keyOf(const Unit &Value);
 
   std::map<Key, std::set<UnitId>, KeyLess> Lanes;
-  std::map<UnitId, const std::set<UnitId> *> Heads;
+  std::map<UnitId, LaneHead> Heads;
 };
 
 /// All queued units. Every operation is O(log of the number of units).
--- a/include/teaselwalk/schedule/scheduler_state.hpp
+++ b/include/teaselwalk/schedule/scheduler_state.hpp
@@ -26,10 +26,16 @@
   size_t MaxStartsPerDecision = 64;
   /// Lanes of a team and class that one decision looks at, oldest first.
   size_t MaxLanes = 16;
+  /// So many younger units of its team and class may start before a unit. After
+  /// that it is tried first whenever there is room.
+  uint32_t MaxOvertaken = 64;
   /// A unit that has not fitted for so long may take the reservation.
   Duration AgeLimit{30000};
   /// A team below its share takes room back after a wait of this length.
-  Duration ShareDelay{3000};
+  Duration ShareDelay{10000};
+  /// It takes from teams that keep at least this multiple of its own share. The
+  /// margin keeps the normal ends of tasks from causing reclaims.
+  double ShareMargin = 1.25;
   /// From the checkpoint to the stop of a reclaimed task. With the stop itself
   /// taking up to 1 s, urgent work starts within 4.4 s.
   Duration CheckpointGrace{2000};
@@ -59,10 +65,15 @@
   size_t Unsatisfied = 0;  ///< A place that had no room when last looked at.
 };
 
-/// Sizes that did not fit since room last appeared.
+/// Sizes that fit on no endpoint now, without those that are larger than
+/// another one in every component.
 struct FailedSizes {
-  uint64_t RoomVersion = 0;
   std::vector<Resources> Sizes;
+  /// Grows when a size may fit again. Starts above the value that marks a team
+  /// as not blocked.
+  uint64_t Version = 1;
+  /// Grows when room appears anywhere.
+  uint64_t RoomVersion = 1;
 };
 
 /// All state of a scheduler. The functions of the module work on it.
@@ -77,8 +88,7 @@
   /// The unit that has the one reservation without reclaim.
   std::optional<UnitId> Reserved;
   FailedSizes Failed;
-  /// Tasks that were asked to end, by the time of the next stop. Rows of tasks
-  /// that have ended are dropped when their time comes.
+  /// Running tasks that were asked to end, by the time of the next stop.
   std::set<std::pair<TimePoint, TaskId>> Stops;
   uint64_t CapacityVersion = 0;
 };
--- a/include/teaselwalk/schedule/team_table.hpp
+++ b/include/teaselwalk/schedule/team_table.hpp
@@ -37,8 +37,10 @@
   int64_t Running = 0;
   int64_t Queued = 0;
   std::array<int64_t, TaskClassCount> QueuedUnits{};
-  double Share = 0;         ///< Weighted dominant share; the order of service.
-  uint64_t BlockedRoom = 0; ///< Nothing fits while the room version is this.
+  double Share = 0; ///< Weighted dominant share; the order of service.
+  int64_t QueuedGangs = 0;
+  /// Nothing can start while this version is the same, by lane; 0 if unknown.
+  std::array<uint64_t, 2> Blocked{};
 };
 
 /// Accounts of all teams, ordered by weighted dominant share.
@@ -69,8 +71,8 @@
               int64_t Tasks);
   /// Count \p Tasks of one unit more (or fewer) queued.
   void queue(Index Team, TaskClass Class, int64_t Units, int64_t Tasks);
-  void setBlocked(Index Team, uint64_t RoomVersion) {
-    Accounts[Team].BlockedRoom = RoomVersion;
+  void setBlocked(Index Team, Lane Which, uint64_t Version) {
+    Accounts[Team].Blocked[Which] = Version;
   }
 
   /// Shares are relative to this amount.
--- a/src/teaselwalk/schedule/decide.cpp
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -1,6 +1,7 @@
 #include "state_functions.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace teaselwalk::schedule {
 
@@ -83,18 +84,76 @@
   return true;
 }
 
+/// Whether it is worth looking for room, from what is already known.
+bool mayFit(const SchedulerState &State, const LaneHead &Head, TimePoint Now) {
+  return !isKnownNotToFit(State, Head.Size) ||
+         (!Head.Gang && isInTimeForBackfill(State, Head.RunTime, Now));
+}
+
+/// The oldest heads of lanes that may fit, largest first: large tasks find room
+/// seldom, and small ones fill what is left. Those that were overtaken too
+/// often go first.
+std::vector<UnitId> candidates(const SchedulerState &State,
+                               TeamTable::Index Team, TaskClass Class,
+                               TimePoint Now) {
+  struct Candidate {
+    bool Overtaken;
+    double Size;
+    UnitId Id;
+  };
+  std::vector<Candidate> Found;
+  const Resources &Whole = State.Endpoints.totalCapacity();
+  size_t Left = State.Options.MaxLanes;
+  for (const auto &[Id, Head] : State.Queue.lanes(Team, Class).heads()) {
+    if (Left-- == 0)
+      break;
+    if (!mayFit(State, Head, Now))
+      continue;
+    bool Overtaken =
+        State.Queue.find(Id)->Overtaken >= State.Options.MaxOvertaken;
+    Found.push_back(
+        {Overtaken, Overtaken ? 0 : dominantShare(Head.Size, Whole), Id});
+  }
+  std::sort(Found.begin(), Found.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::make_tuple(!A.Overtaken, -A.Size, A.Id) <
+                     std::make_tuple(!B.Overtaken, -B.Size, B.Id);
+            });
+  std::vector<UnitId> Result;
+  Result.reserve(Found.size());
+  for (const Candidate &Next : Found)
+    Result.push_back(Next.Id);
+  return Result;
+}
+
+/// Count that \p Started went before older units of its team and class.
+void noteOvertaking(SchedulerState &State, TeamTable::Index Team,
+                    TaskClass Class, UnitId Started) {
+  for (const auto &[Id, Head] : State.Queue.lanes(Team, Class).heads()) {
+    if (Id >= Started)
+      return;
+    ++State.Queue.find(Id)->Overtaken;
+  }
+}
+
 bool tryClass(SchedulerState &State, TeamTable::Index Team, TaskClass Class,
               TimePoint Now, std::vector<Placement> &Out) {
-  size_t Left = State.Options.MaxLanes;
-  for (const auto &[Head, Lane] : State.Queue.lanes(Team, Class).heads()) {
-    if (tryUnit(State, Head, Now, Out))
-      return true;
-    if (--Left == 0)
-      return false;
+  for (UnitId Id : candidates(State, Team, Class, Now)) {
+    if (!tryUnit(State, Id, Now, Out))
+      continue;
+    noteOvertaking(State, Team, Class, Id);
+    return true;
   }
   return false;
 }
 
+/// What must change before a blocked team is looked at again. A gang may fit
+/// once more room appears anywhere, a single task once its size may fit.
+uint64_t blockedVersion(const SchedulerState &State, TeamTable::Index Team) {
+  return State.Teams.at(Team).QueuedGangs > 0 ? State.Failed.RoomVersion
+                                              : State.Failed.Version;
+}
+
 bool tryTeam(SchedulerState &State, TeamTable::Index Team, TeamTable::Lane Lane,
              TimePoint Now, std::vector<Placement> &Out) {
   if (Lane == TeamTable::UrgentLane)
@@ -116,10 +175,17 @@
     if (Out.size() >= Limit)
       return true;
     std::pair<double, TeamTable::Index> Key = *Next;
-    if (tryTeam(State, Key.second, Lane, Now, Out))
+    if (State.Teams.at(Key.second).Blocked[Lane] ==
+        blockedVersion(State, Key.second)) {
+      ++Next;
+    } else if (tryTeam(State, Key.second, Lane, Now, Out)) {
+      refreshFailedSizes(State);
       Next = Order.lower_bound(Key);
-    else
+    } else {
+      State.Teams.setBlocked(Key.second, Lane,
+                             blockedVersion(State, Key.second));
       ++Next;
+    }
   }
   return false;
 }
@@ -141,7 +207,9 @@
                 std::vector<Placement> &Out) {
   refreshShares(State);
   size_t Limit = Out.size() + State.Options.MaxStartsPerDecision;
+  refreshFailedSizes(State);
   startHeld(State, Now, Out);
+  refreshFailedSizes(State);
   if (servePass(State, TeamTable::UrgentLane, Limit, Now, Out) ||
       servePass(State, TeamTable::OtherLane, Limit, Now, Out))
     return true;
--- a/src/teaselwalk/schedule/endpoint_table.cpp
+++ b/src/teaselwalk/schedule/endpoint_table.cpp
@@ -50,7 +50,7 @@
   Changed.Rack = Racks.emplace(Info.Rack, static_cast<uint32_t>(Racks.size()))
                      .first->second;
   countCapacity(Changed, 1);
-  ++RoomVersion;
+  Grown.push_back(At);
   refresh(At);
   return At;
 }
@@ -112,7 +112,7 @@
   Rows[At].Taken -= Amount;
   if (isOpen(At))
     OpenTaken -= Amount;
-  ++RoomVersion;
+  Grown.push_back(At);
   refresh(At);
 }
 
@@ -123,7 +123,7 @@
 
 void EndpointTable::unhold(Index At, const Resources &Amount) {
   Rows[At].Held -= Amount;
-  ++RoomVersion;
+  Grown.push_back(At);
   refresh(At);
 }
 
--- a/src/teaselwalk/schedule/hold.cpp
+++ b/src/teaselwalk/schedule/hold.cpp
@@ -58,15 +58,21 @@
   return Result;
 }
 
+bool isInTimeForBackfill(const SchedulerState &State, Duration RunTime,
+                         TimePoint Now) {
+  if (RunTime <= Duration(0) || !State.Reserved)
+    return false;
+  const Hold &Kept = State.Holds.at(*State.Reserved);
+  return !Kept.Reclaiming && Now + RunTime <= Kept.Start;
+}
+
 std::optional<EndpointTable::Index>
 chooseBackfill(const SchedulerState &State, const Unit &Value, TimePoint Now) {
   // Bounds the cost of a decision; the holds are few.
   constexpr int MaxProbes = 32;
-  if (Value.isGang() || Value.Spec.RunTime <= Duration(0) || !State.Reserved)
+  if (Value.isGang() || !isInTimeForBackfill(State, Value.Spec.RunTime, Now))
     return std::nullopt;
   const Hold &Kept = State.Holds.at(*State.Reserved);
-  if (Kept.Reclaiming || Now + Value.Spec.RunTime > Kept.Start)
-    return std::nullopt;
   int Left = MaxProbes;
   for (const HeldPlace &Place : Kept.Places) {
     if (Left-- == 0)
--- a/src/teaselwalk/schedule/placement_index.cpp
+++ b/src/teaselwalk/schedule/placement_index.cpp
@@ -15,6 +15,9 @@
 constexpr int MaxProbes = 48;
 // Candidates of one cell, so that a large cell does not use up all probes.
 constexpr int MaxProbesPerCell = 8;
+// For gangs, so that several racks are among the candidates.
+constexpr int MaxRackProbes = 128;
+constexpr int MaxRackProbesPerCell = 32;
 // Outweighs every difference in room left, which is at most 5.
 constexpr float RackPenalty = 8;
 
@@ -121,29 +124,28 @@
 void PlacementIndex::probeCell(Cell &Where, Search &State) const {
   if (!fits(State.Need, Where.Bound))
     return;
-  int Left = State.CellLimit;
+  const size_t Count = Where.Members.size();
+  const auto Limit = static_cast<size_t>(State.CellLimit);
+  // A sample is spread over the cell, since neighbours often share a rack.
+  const size_t Stride =
+      Limit > 0 && Count > Limit ? (Count + Limit - 1) / Limit : 1;
+  State.Truncated |= Stride > 1;
   Resources Exact;
-  bool Complete = true;
-  for (Index Member : Where.Members) {
-    const Entry &Candidate = Entries[Member];
-    if (State.CellLimit > 0 && Left-- == 0) {
-      State.Truncated = true;
-      Complete = false;
-      break;
-    }
+  for (size_t I = 0; I < Count; I += Stride) {
+    const Entry &Candidate = Entries[Where.Members[I]];
     ++State.Probes;
     raise(Exact, Candidate.Room);
     if (!fits(State.Need, Candidate.Room))
       continue;
     float Score = score(Candidate, State);
     if (!State.Best || Score < State.BestScore) {
-      State.Best = Member;
+      State.Best = Where.Members[I];
       State.BestScore = Score;
     }
     if (State.CellLimit == 0)
       return;
   }
-  if (Complete)
+  if (Stride == 1)
     Where.Bound = Exact;
 }
 
@@ -151,13 +153,14 @@
   size_t FirstRow = stepOf(State.Need.MilliCpu, CpuStep, Steps - 1);
   size_t FirstColumn = stepOf(State.Need.MemoryMb, MemoryStep, Steps - 1);
   uint64_t Wanted = ~uint64_t{0} << FirstColumn;
+  const int Limit = State.Racks ? MaxRackProbes : MaxProbes;
   for (size_t Row = FirstRow; Row < Steps; ++Row) {
     uint64_t Bits = Where.Rows[Row] & Wanted;
     while (Bits != 0) {
       auto Column = static_cast<size_t>(__builtin_ctzll(Bits));
       Bits &= Bits - 1;
       probeCell(Where.Cells[Row * Steps + Column], State);
-      if (State.Best && (State.Probes >= MaxProbes || State.CellLimit == 0))
+      if (State.Best && (State.Probes >= Limit || State.CellLimit == 0))
         return;
     }
   }
@@ -167,7 +170,7 @@
 PlacementIndex::choose(const Resources &Need, const RackLoad *Racks) const {
   // Accelerators stay free for work that needs them as long as possible.
   for (size_t Which = Need.Accelerators > 0 ? 1 : 0; Which < 2; ++Which) {
-    Search Quick{Need, Racks, MaxProbesPerCell};
+    Search Quick{Need, Racks, Racks ? MaxRackProbesPerCell : MaxProbesPerCell};
     searchGrid(Grids[Which], Quick);
     if (Quick.Best)
       return Quick.Best;
--- /dev/null
+++ b/src/teaselwalk/schedule/policy_test.cpp
@@ -0,0 +1,201 @@
+#include "scheduler_fixture.hpp"
+
+#include <map>
+#include <set>
+
+namespace teaselwalk::schedule {
+namespace {
+
+const Resources Half{32000, 1000, 0, 1, 1};
+const Resources Small{8000, 1000, 0, 1, 1};
+
+struct PolicyTest : SchedulerTest {
+  /// Running tasks that end at a time, whatever they declared.
+  std::multimap<TimePoint, TaskId> Ends;
+
+  void startFor(const std::vector<Placement> &Starts, Duration Length) {
+    for (const Placement &Start : Starts) {
+      S.started(Start.Task, Now);
+      Ends.emplace(Now + Length, Start.Task);
+    }
+  }
+
+  /// Ends what is due at `Now`.
+  void endDue() {
+    while (!Ends.empty() && Ends.begin()->first <= Now) {
+      S.ended(Ends.begin()->second);
+      Ends.erase(Ends.begin());
+    }
+  }
+
+  /// Carries out stops at once, checkpoints never.
+  void obeyStops() {
+    for (const ReclaimStep &Step : S.reclaim(Now))
+      if (Step.Mode == protocol::StopMode::Stop)
+        S.ended(Step.Task);
+  }
+};
+
+// Guards against two gangs that each hold half of the endpoints forever.
+TEST_F(PolicyTest, TwoGangsDoNotDeadlock) {
+  endpoints(4);
+  for (const TaskId &Task : names("filler", 8))
+    ASSERT_TRUE(S.admit(Task, work("blue", Half, 10000), Now));
+  startFor(decide(), Duration(10000));
+  ASSERT_TRUE(S.admitGang(names("a", 6), work("blue", Half, 5000), Now));
+  ASSERT_TRUE(S.admitGang(names("b", 6), work("red", Half, 5000), Now));
+  std::vector<std::string> Started;
+  for (; Now < timeAt(40000); Now += Duration(100)) {
+    // Fillers end one by one, so that room appears in parts.
+    if (Now.time_since_epoch().count() % 1000 == 0 && !Ends.empty()) {
+      S.ended(Ends.begin()->second);
+      Ends.erase(Ends.begin());
+    }
+    std::vector<Placement> Starts = decide();
+    if (Starts.empty())
+      continue;
+    EXPECT_EQ(Starts.size(), 6U) << "a gang started in part";
+    Started.push_back(Starts[0].Task.str());
+    startFor(Starts, Duration(5000));
+  }
+  EXPECT_EQ(Started, (std::vector<std::string>{"a/0", "b/0"}));
+}
+
+// Guards against backfill that delays the reserved gang: work that declares
+// less than it runs is stopped at the reserved start, within 3 s.
+TEST_F(PolicyTest, BackfillDelaysTheReservedGangByAtMostThreeSeconds) {
+  endpoints(2);
+  ASSERT_TRUE(S.admit(TaskId("long/0"), work("red", Machine, 20000), Now));
+  startFor(decide(), Duration(20000));
+  ASSERT_TRUE(S.admitGang(names("gang", 2), work("blue", Machine, 5000), Now));
+  EXPECT_TRUE(decide().empty());
+  ASSERT_TRUE(S.admit(TaskId("late"), work("red", Small, 30000), Now));
+  ASSERT_TRUE(S.admit(TaskId("service"), work("red", Small, 0), Now));
+  ASSERT_TRUE(S.admit(TaskId("fits"), work("red", Small, 15000), Now));
+  std::vector<Placement> Backfilled = decide();
+  ASSERT_EQ(Backfilled.size(), 1U);
+  EXPECT_EQ(Backfilled[0].Task, TaskId("fits"));
+  // It declared 15 s and never ends by itself.
+  std::optional<TimePoint> GangStart;
+  for (; Now < timeAt(40000) && !GangStart; Now += Duration(100)) {
+    endDue();
+    obeyStops();
+    for (const Placement &Start : decide())
+      if (Start.Task == TaskId("gang/0"))
+        GangStart = Now;
+  }
+  ASSERT_TRUE(GangStart);
+  EXPECT_GE(*GangStart, timeAt(20000));
+  EXPECT_LE(*GangStart, timeAt(23000));
+}
+
+// Guards against gangs packed into one rack where more racks have room.
+TEST_F(PolicyTest, GangSpreadsOverRacks) {
+  endpoints(32);
+  ASSERT_TRUE(S.admitGang(names("gang", 4), work("blue", Small, 1000), Now));
+  std::set<std::string> Racks;
+  for (const Placement &Start : decide())
+    Racks.insert(
+        S.endpoints().info(*S.endpoints().find(Start.Endpoint)).Rack.str());
+  EXPECT_EQ(Racks.size(), 4U);
+}
+
+// Guards against accelerators blocked by work that needs none.
+TEST_F(PolicyTest, AcceleratorsStayFreeForWorkThatNeedsThem) {
+  S.setEndpoint({EndpointId("a"),
+                 DataCentreId("d"),
+                 RackId("r"),
+                 {64000, 131072, 2, 8, 60}});
+  S.setEndpoint({EndpointId("b"), DataCentreId("d"), RackId("r"), Machine});
+  for (const TaskId &Task : names("plain", 8))
+    ASSERT_TRUE(S.admit(Task, work("blue", {1000, 10, 0, 1, 1}), Now));
+  decide();
+  for (const TaskId &Task : names("plain", 8))
+    EXPECT_EQ(S.endpointOf(Task), EndpointId("b"));
+  ASSERT_TRUE(S.admit(TaskId("x"), work("red", {64000, 10, 2, 1, 1}), Now));
+  EXPECT_EQ(decide().size(), 1U);
+}
+
+// Guards against a flood of one team that makes another team wait.
+TEST_F(PolicyTest, FloodOfOneTeamDoesNotDelayAnother) {
+  endpoints(2);
+  for (const TaskId &Task : names("flood", 10000))
+    ASSERT_TRUE(S.admit(Task, work("blue", Small, 1000), Now));
+  EXPECT_EQ(decide().size(), 16U);
+  ASSERT_TRUE(S.admit(TaskId("other"), work("red", Small, 1000), Now));
+  S.ended(TaskId("flood/3"));
+  std::vector<Placement> Next = decide();
+  ASSERT_EQ(Next.size(), 1U);
+  EXPECT_EQ(Next[0].Task, TaskId("other"));
+}
+
+// Guards against cancelled work that starts, and against work that is lost
+// with it.
+TEST_F(PolicyTest, WaveOfCancellationsLeavesTheRest) {
+  endpoints(1);
+  for (const TaskId &Task : names("wave", 9999)) {
+    WorkSpec Spec = work("blue", Small, 1000);
+    Spec.Job = JobId("wave");
+    ASSERT_TRUE(S.admit(Task, Spec, Now));
+  }
+  ASSERT_TRUE(S.admit(TaskId("kept"), work("blue", Small, 1000), Now));
+  EXPECT_EQ(S.cancel(TaskId("wave/17")).size(), 1U);
+  EXPECT_TRUE(S.cancel(TaskId("wave/17")).empty());
+  EXPECT_EQ(S.cancelJob(JobId("wave")).size(), 9998U);
+  EXPECT_EQ(S.queuedTasks(), 1);
+  std::vector<Placement> Starts = decide();
+  ASSERT_EQ(Starts.size(), 1U);
+  EXPECT_EQ(Starts[0].Task, TaskId("kept"));
+}
+
+// Guards against urgent work that waits for a full cluster.
+TEST_F(PolicyTest, UrgentWorkStartsWithinBoundOnFullCluster) {
+  endpoints(10);
+  for (const TaskId &Task : names("fill", 80))
+    ASSERT_TRUE(S.admit(Task, work("blue", Small, 3600000), Now));
+  EXPECT_EQ(decide().size(), 80U);
+  for (const TaskId &Task : names("queue", 100))
+    ASSERT_TRUE(S.admit(Task, work("red", Small, 3600000), Now));
+  Now = timeAt(100000);
+  WorkSpec Urgent = work("red", {24000, 1000, 0, 1, 1}, 60000);
+  Urgent.Urgent = true;
+  ASSERT_TRUE(S.admit(TaskId("urgent"), Urgent, Now));
+  WorkSpec Gang = work("blue", Small, 60000);
+  Gang.Urgent = true;
+  ASSERT_TRUE(S.admitGang(names("urgent-gang", 12), Gang, Now));
+  std::multimap<TimePoint, TaskId> Stops;
+  for (; Now < timeAt(104400); Now += Duration(200)) {
+    // A stop takes 1 s on the endpoint.
+    while (!Stops.empty() && Stops.begin()->first <= Now) {
+      S.ended(Stops.begin()->second);
+      Stops.erase(Stops.begin());
+    }
+    decide();
+    for (const ReclaimStep &Step : S.reclaim(Now))
+      if (Step.Mode == protocol::StopMode::Stop)
+        Stops.emplace(Now + Duration(1000), Step.Task);
+  }
+  EXPECT_TRUE(S.isRunning(TaskId("urgent")));
+  EXPECT_TRUE(S.isRunning(TaskId("urgent-gang/11")));
+}
+
+// Guards against a stop that is meant for an earlier run of the same task.
+TEST_F(PolicyTest, RestartedTaskDoesNotInheritAStop) {
+  endpoints(1);
+  ASSERT_TRUE(S.admit(TaskId("a"), work("blue", Machine, 3600000), Now));
+  decide();
+  WorkSpec Urgent = work("red", Machine, 1000);
+  Urgent.Urgent = true;
+  ASSERT_TRUE(S.admit(TaskId("urgent"), Urgent, Now));
+  ASSERT_EQ(S.reclaim(Now).size(), 1U);
+  S.ended(TaskId("a"));
+  ASSERT_EQ(decide().size(), 1U);
+  S.ended(TaskId("urgent"));
+  ASSERT_TRUE(S.admit(TaskId("a"), work("blue", Machine, 3600000), Now));
+  ASSERT_EQ(decide().size(), 1U);
+  Now = timeAt(60000);
+  EXPECT_TRUE(S.reclaim(Now).empty());
+}
+
+} // namespace
+} // namespace teaselwalk::schedule
--- a/src/teaselwalk/schedule/queue_set.cpp
+++ b/src/teaselwalk/schedule/queue_set.cpp
@@ -10,13 +10,16 @@
 }
 
 bool LaneQueue::KeyLess::operator()(const Key &A, const Key &B) const {
-  if (A.second != B.second)
-    return A.second < B.second;
-  return ResourcesLess()(A.first, B.first);
+  auto Rest = [](const Key &Value) {
+    return std::make_pair(std::get<1>(Value), std::get<2>(Value));
+  };
+  if (Rest(A) != Rest(B))
+    return Rest(A) < Rest(B);
+  return ResourcesLess()(std::get<0>(A), std::get<0>(B));
 }
 
 LaneQueue::Key LaneQueue::keyOf(const Unit &Value) {
-  return {Value.Spec.Size, Value.isGang() ? Value.Id : 0};
+  return {Value.Spec.Size, Value.Spec.RunTime, Value.isGang() ? Value.Id : 0};
 }
 
 void LaneQueue::insert(const Unit &Value) {
@@ -24,7 +27,8 @@
   if (!Lane.empty())
     Heads.erase(*Lane.begin());
   Lane.insert(Value.Id);
-  Heads[*Lane.begin()] = &Lane;
+  Heads[*Lane.begin()] = {&Lane, Value.Spec.Size, Value.Spec.RunTime,
+                          Value.isGang()};
 }
 
 void LaneQueue::erase(const Unit &Value) {
@@ -37,7 +41,8 @@
   if (Lane.empty())
     Lanes.erase(Found);
   else
-    Heads[*Lane.begin()] = &Lane;
+    Heads[*Lane.begin()] = {&Lane, Value.Spec.Size, Value.Spec.RunTime,
+                            Value.isGang()};
 }
 
 UnitId QueueSet::insert(Unit Value) {
--- a/src/teaselwalk/schedule/reclaim.cpp
+++ b/src/teaselwalk/schedule/reclaim.cpp
@@ -319,9 +319,9 @@
   TeamTable::Order Order = State.Teams.order(TeamTable::UrgentLane);
   for (const auto &[Share, Team] : Order) {
     std::vector<UnitId> Heads;
-    for (const auto &[Head, Lane] :
+    for (const auto &[First, Head] :
          State.Queue.lanes(Team, TaskClass::Urgent).heads())
-      for (UnitId Id : *Lane)
+      for (UnitId Id : *Head.Lane)
         if (Heads.size() < State.Options.MaxReclaims)
           Heads.push_back(Id);
     for (UnitId Id : Heads) {
@@ -344,8 +344,8 @@
   for (TaskClass Class :
        {TaskClass::Call, TaskClass::Service, TaskClass::Batch}) {
     size_t Left = State.Options.MaxLanes;
-    for (const auto &[Head, Lane] : State.Queue.lanes(Team, Class).heads())
-      for (UnitId Id : *Lane) {
+    for (const auto &[First, Head] : State.Queue.lanes(Team, Class).heads())
+      for (UnitId Id : *Head.Lane) {
         const Unit &Value = *State.Queue.find(Id);
         if (Left-- == 0 || Value.Arrived + State.Options.ShareDelay > Now)
           return nullptr;
@@ -369,7 +369,8 @@
     if (!State.Teams.allows(Team, Soon,
                             static_cast<int64_t>(Value->Tasks.size())))
       continue;
-    Claim Wish{Value, ReclaimReason::Share, State.Teams.shareWith(Team, Soon),
+    Claim Wish{Value, ReclaimReason::Share,
+               State.Teams.shareWith(Team, Soon) * State.Options.ShareMargin,
                false};
     claimRoom(State, Wish, Amounts, Now, Out);
   }
--- /dev/null
+++ b/src/teaselwalk/schedule/scheduler_fixture.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "teaselwalk/schedule/scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+/// A scheduler with two teams for the tests of this module.
+namespace teaselwalk::schedule {
+
+const Resources Machine{64000, 131072, 0, 8, 60};
+
+struct SchedulerTest : testing::Test {
+  Scheduler S;
+  TimePoint Now = timeAt(0);
+
+  void SetUp() override {
+    S.setTeam(TeamId("blue"), {});
+    S.setTeam(TeamId("red"), {});
+    S.setQueue(QueueId("batch"), TaskClass::Batch);
+    S.setQueue(QueueId("call"), TaskClass::Call);
+  }
+
+  void endpoints(int Count, const Resources &Capacity = Machine) {
+    for (int I = 0; I < Count; ++I)
+      S.setEndpoint({EndpointId("e" + std::to_string(I)), DataCentreId("d"),
+                     RackId("r" + std::to_string(I / 8)), Capacity});
+  }
+
+  static WorkSpec work(const char *Team, const Resources &Size,
+                       int64_t RunMs = 0, const char *Queue = "batch") {
+    WorkSpec Spec;
+    Spec.Team = TeamId(Team);
+    Spec.Queue = QueueId(Queue);
+    Spec.Size = Size;
+    Spec.RunTime = Duration(RunMs);
+    return Spec;
+  }
+
+  static std::vector<TaskId> names(const std::string &Prefix, int Count) {
+    std::vector<TaskId> Result;
+    Result.reserve(static_cast<size_t>(Count));
+    for (int I = 0; I < Count; ++I)
+      Result.emplace_back(Prefix + "/" + std::to_string(I));
+    return Result;
+  }
+
+  std::vector<Placement> decide() {
+    std::vector<Placement> Out;
+    while (S.decide(Now, Out))
+      ;
+    return Out;
+  }
+};
+
+} // namespace teaselwalk::schedule
--- a/src/teaselwalk/schedule/state_functions.cpp
+++ b/src/teaselwalk/schedule/state_functions.cpp
@@ -20,6 +20,9 @@
 
 RunningRecord leaveRunning(SchedulerState &State, RunningSet::Slot At) {
   RunningRecord Record = State.Running.take(At);
+  // A later run of the same task must not meet the stop meant for this one.
+  if (Record.StopAt)
+    State.Stops.erase({*Record.StopAt, Record.Task});
   State.Endpoints.release(Record.Endpoint, Record.Charged);
   State.Teams.charge(Record.Team, Resources() - Record.Size,
                      Resources() - Record.Charged, -1);
@@ -56,11 +59,28 @@
   State.Teams.setCapacity(State.Endpoints.totalCapacity());
 }
 
-bool isKnownNotToFit(SchedulerState &State, const Resources &Need) {
-  if (State.Failed.RoomVersion != State.Endpoints.roomVersion()) {
-    State.Failed.RoomVersion = State.Endpoints.roomVersion();
-    State.Failed.Sizes.clear();
+void refreshFailedSizes(SchedulerState &State) {
+  if (State.Endpoints.grown().empty())
+    return;
+  auto &Sizes = State.Failed.Sizes;
+  size_t Before = Sizes.size();
+  bool Held = false;
+  for (EndpointTable::Index At : State.Endpoints.grown()) {
+    Resources Room = State.Endpoints.room(At) - State.Endpoints.held(At);
+    // Work that ends in time may use the held part as well.
+    Held |= State.Endpoints.held(At).Slots > 0;
+    Sizes.erase(
+        std::remove_if(Sizes.begin(), Sizes.end(),
+                       [&](const Resources &Size) { return fits(Size, Room); }),
+        Sizes.end());
   }
+  State.Endpoints.clearGrown();
+  ++State.Failed.RoomVersion;
+  if (Held || Sizes.size() != Before)
+    ++State.Failed.Version;
+}
+
+bool isKnownNotToFit(const SchedulerState &State, const Resources &Need) {
   return std::any_of(State.Failed.Sizes.begin(), State.Failed.Sizes.end(),
                      [&](const Resources &Size) { return fits(Size, Need); });
 }
--- a/src/teaselwalk/schedule/state_functions.hpp
+++ b/src/teaselwalk/schedule/state_functions.hpp
@@ -24,7 +24,9 @@
 /// Bring shares up to date with the endpoints' capacity.
 void refreshShares(SchedulerState &State);
 
-bool isKnownNotToFit(SchedulerState &State, const Resources &Need);
+/// Forget sizes that may fit again because room has appeared.
+void refreshFailedSizes(SchedulerState &State);
+bool isKnownNotToFit(const SchedulerState &State, const Resources &Need);
 void noteNotFitting(SchedulerState &State, const Resources &Need);
 
 bool decideFair(SchedulerState &State, TimePoint Now,
@@ -41,6 +43,9 @@
 /// The endpoints of the unit's hold if all places have room now, else empty.
 std::vector<EndpointTable::Index> satisfiedPlaces(SchedulerState &State,
                                                   UnitId Unit);
+/// Whether work that runs for \p RunTime ends before the reservation starts.
+bool isInTimeForBackfill(const SchedulerState &State, Duration RunTime,
+                         TimePoint Now);
 /// An endpoint where \p Value may run inside room held for others, since it
 /// ends before the room is needed.
 std::optional<EndpointTable::Index>
--- a/src/teaselwalk/schedule/team_table.cpp
+++ b/src/teaselwalk/schedule/team_table.cpp
@@ -16,7 +16,7 @@
   Index Team = findOrAdd(Id);
   Accounts[Team].Settings = Settings;
   Accounts[Team].Present = true;
-  Accounts[Team].BlockedRoom = 0;
+  Accounts[Team].Blocked = {};
   reorder(Team, shareWith(Team, Resources()));
   return Team;
 }
@@ -47,7 +47,7 @@
   Account.Declared += Declared;
   Account.Charged += Charged;
   Account.Running += Tasks;
-  Account.BlockedRoom = 0;
+  Account.Blocked = {};
   reorder(Team, shareWith(Team, Resources()));
 }
 
@@ -56,8 +56,10 @@
   leave(Team);
   TeamAccount &Account = Accounts[Team];
   Account.Queued += Tasks;
+  if (Tasks != Units)
+    Account.QueuedGangs += Units;
   Account.QueuedUnits[static_cast<size_t>(Class)] += Units;
-  Account.BlockedRoom = 0;
+  Account.Blocked = {};
   enter(Team);
 }
 
