schedule: keep teams with small tasks from filling every hole

Cause: teams with small tasks took every hole as it appeared, so teams with larger tasks stayed below their share (distance 64% when full). Change: one place is kept for a task of each team below the common level (at most 8), and teams above the level start nothing while another one below it waits with a single task within its allowance.

--- a/include/teaselwalk/schedule/scheduler_state.hpp
+++ b/include/teaselwalk/schedule/scheduler_state.hpp
@@ -39,6 +39,11 @@
   /// From the checkpoint to the stop of a reclaimed task. With the stop itself
   /// taking up to 1 s, urgent work starts within 4.4 s.
   Duration CheckpointGrace{2000};
+  /// A team is below (above) the level of all teams with queued work if its
+  /// weighted share differs from it by more than this part.
+  double ShareBand = 0.02;
+  /// Places kept at a time for single tasks of teams below the level.
+  size_t MaxShareHolds = 8;
   /// Room is taken back for at most this many units at a time.
   size_t MaxReclaims = 32;
   /// Largest delay between two tries of a gang without reservation.
@@ -62,6 +67,7 @@
   std::vector<HeldPlace> Places;
   TimePoint Start;
   bool Reclaiming = false; ///< Running tasks are being stopped for it.
+  bool ForShare = false;   ///< A single task of a team below its share.
   size_t Unsatisfied = 0;  ///< A place that had no room when last looked at.
 };
 
--- a/include/teaselwalk/schedule/team_table.hpp
+++ b/include/teaselwalk/schedule/team_table.hpp
@@ -75,6 +75,10 @@
     Accounts[Team].Blocked[Which] = Version;
   }
 
+  /// Weighted mean of the shares of all teams with other than urgent work
+  /// queued: the share at which they would be equal.
+  double level() const;
+
   /// Shares are relative to this amount.
   void setCapacity(const Resources &Capacity);
   /// Weighted dominant share of \p Team with \p Extra added.
--- a/src/teaselwalk/schedule/decide.cpp
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -165,27 +165,58 @@
   return false;
 }
 
+/// Teams above the level may not fill every hole while a team below it waits
+/// for room for a single task: tasks of teams with small sizes would keep the
+/// holes too small for the others forever.
+class ShareGate {
+public:
+  ShareGate(const SchedulerState &State, TeamTable::Lane Lane)
+      : Applies(Lane == TeamTable::OtherLane) {
+    refresh(State);
+  }
+
+  void refresh(const SchedulerState &State) {
+    if (Applies)
+      Level = State.Teams.level();
+  }
+  void noteBlocked(const SchedulerState &State, TeamTable::Index Team) {
+    Closed = Closed || (Applies &&
+                        State.Teams.at(Team).Share <
+                            Level * (1 - State.Options.ShareBand) &&
+                        oldestSingle(State, Team) != nullptr);
+  }
+  bool isClosedFor(double Share) const { return Closed && Share > Level; }
+
+private:
+  bool Applies;
+  bool Closed = false;
+  double Level = 0;
+};
+
 /// Serve teams in order of their shares. Teams that were passed over stay
 /// blocked for the rest of the pass, since room only gets less.
 bool servePass(SchedulerState &State, TeamTable::Lane Lane, size_t Limit,
                TimePoint Now, std::vector<Placement> &Out) {
   const TeamTable::Order &Order = State.Teams.order(Lane);
+  ShareGate Gate(State, Lane);
   auto Next = Order.begin();
   while (Next != Order.end()) {
     if (Out.size() >= Limit)
       return true;
-    std::pair<double, TeamTable::Index> Key = *Next;
-    if (State.Teams.at(Key.second).Blocked[Lane] ==
-        blockedVersion(State, Key.second)) {
-      ++Next;
-    } else if (tryTeam(State, Key.second, Lane, Now, Out)) {
+    const auto [Share, Team] = *Next;
+    if (Gate.isClosedFor(Share))
+      return false;
+    const bool Known =
+        State.Teams.at(Team).Blocked[Lane] == blockedVersion(State, Team);
+    if (!Known && tryTeam(State, Team, Lane, Now, Out)) {
       refreshFailedSizes(State);
-      Next = Order.lower_bound(Key);
-    } else {
-      State.Teams.setBlocked(Key.second, Lane,
-                             blockedVersion(State, Key.second));
-      ++Next;
+      Gate.refresh(State);
+      Next = Order.lower_bound({Share, Team});
+      continue;
     }
+    State.Teams.setBlocked(Team, Lane, blockedVersion(State, Team));
+    Gate.noteBlocked(State, Team);
+    ++Next;
   }
   return false;
 }
@@ -214,6 +245,7 @@
       servePass(State, TeamTable::OtherLane, Limit, Now, Out))
     return true;
   updateReservation(State, Now);
+  updateShareHolds(State, Now);
   return false;
 }
 
--- a/src/teaselwalk/schedule/property_test.cpp
+++ b/src/teaselwalk/schedule/property_test.cpp
@@ -147,6 +147,7 @@
     if (number(0, 3) == 0)
       Spec.Deadline = Now + Duration(number(1, 20000));
     std::vector<TaskId> Ids;
+    Ids.reserve(static_cast<size_t>(Count));
     for (int I = 0; I < Count; ++I)
       Ids.emplace_back("t" + std::to_string(Next++));
     if (S.admitGang(Ids, Spec, Now))
--- a/src/teaselwalk/schedule/reservation.cpp
+++ b/src/teaselwalk/schedule/reservation.cpp
@@ -1,6 +1,7 @@
 #include "state_functions.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace teaselwalk::schedule {
 
@@ -16,6 +17,7 @@
 // Bounds the cost of planning on a large cluster.
 constexpr size_t EndpointsPerTask = 4;
 constexpr size_t MinEndpoints = 64;
+constexpr UnitId PlanStride = 61;
 constexpr Duration MinOverrun{1000};
 // A reservation whose start has passed for so long is planned anew, because
 // tasks ran longer than declared.
@@ -125,8 +127,61 @@
   return Best;
 }
 
+/// Forget places that came too late or that the team no longer needs. Returns
+/// the teams that keep one.
+std::set<TeamTable::Index> dropShareHolds(SchedulerState &State, double Below,
+                                          TimePoint Now) {
+  std::set<TeamTable::Index> Kept;
+  std::vector<UnitId> Dropped;
+  for (const auto &[Id, Value] : State.Holds) {
+    if (!Value.ForShare)
+      continue;
+    TeamTable::Index Team = State.Queue.find(Id)->Team;
+    if (State.Teams.at(Team).Share >= Below || Now >= Value.Start + ReplanDelay)
+      Dropped.push_back(Id);
+    else
+      Kept.insert(Team);
+  }
+  for (UnitId Id : Dropped)
+    removeHold(State, Id);
+  return Kept;
+}
+
 } // namespace
 
+const Unit *oldestSingle(const SchedulerState &State, TeamTable::Index Team) {
+  for (TaskClass Class :
+       {TaskClass::Call, TaskClass::Service, TaskClass::Batch}) {
+    size_t Left = State.Options.MaxLanes;
+    for (const auto &[Id, Head] : State.Queue.lanes(Team, Class).heads()) {
+      if (Left-- == 0)
+        break;
+      const Unit &Value = *State.Queue.find(Id);
+      if (!Head.Gang && mayReserve(State, Value))
+        return &Value;
+    }
+  }
+  return nullptr;
+}
+
+void updateShareHolds(SchedulerState &State, TimePoint Now) {
+  double Below = State.Teams.level() * (1 - State.Options.ShareBand);
+  std::set<TeamTable::Index> Kept = dropShareHolds(State, Below, Now);
+  for (const auto &[Share, Team] : State.Teams.order(TeamTable::OtherLane)) {
+    if (Share >= Below || Kept.size() >= State.Options.MaxShareHolds)
+      return;
+    const Unit *Next =
+        Kept.count(Team) == 0 ? oldestSingle(State, Team) : nullptr;
+    if (!Next)
+      continue;
+    if (std::optional<Hold> Plan = planHold(State, *Next, Now)) {
+      Plan->ForShare = true;
+      Kept.insert(Team);
+      addHold(State, std::move(*Plan));
+    }
+  }
+}
+
 void updateReservation(SchedulerState &State, TimePoint Now) {
   if (State.Reserved) {
     const Unit &Value = *State.Queue.find(*State.Reserved);
--- a/src/teaselwalk/schedule/state_functions.hpp
+++ b/src/teaselwalk/schedule/state_functions.hpp
@@ -40,6 +40,12 @@
 /// Give the one reservation to the oldest gang or aged unit that could have
 /// room, if it is free.
 void updateReservation(SchedulerState &State, TimePoint Now);
+/// The oldest single task of a team, other than urgent, that has no place kept
+/// and is within the allowance; null if there is none.
+const Unit *oldestSingle(const SchedulerState &State, TeamTable::Index Team);
+/// Keep a place for one task of each team that is below its share, since
+/// smaller tasks of other teams would fill every hole first.
+void updateShareHolds(SchedulerState &State, TimePoint Now);
 /// The endpoints of the unit's hold if all places have room now, else empty.
 std::vector<EndpointTable::Index> satisfiedPlaces(SchedulerState &State,
                                                   UnitId Unit);
--- a/src/teaselwalk/schedule/team_table.cpp
+++ b/src/teaselwalk/schedule/team_table.cpp
@@ -75,6 +75,17 @@
   return dominantShare(Account.Charged + Extra, Capacity) / Weight;
 }
 
+double TeamTable::level() const {
+  double Sum = 0;
+  double Weights = 0;
+  for (const auto &[Share, Team] : Orders[OtherLane]) {
+    double Weight = Accounts[Team].Settings.Weight;
+    Sum += Share * Weight;
+    Weights += Weight;
+  }
+  return Weights > 0 ? Sum / Weights : 0;
+}
+
 void TeamTable::reorder(Index Team, double Share) {
   leave(Team);
   Accounts[Team].Share = Share;
