schedule: pay back what a team had above its share

Cause: gangs and single holes kept teams of small weight above their share on average, since the order looked at the present moment only. Change: the order of service adds the time integral of share less level, bounded to 120 s of the level.

--- a/include/teaselwalk/schedule/scheduler_state.hpp
+++ b/include/teaselwalk/schedule/scheduler_state.hpp
@@ -41,7 +41,7 @@
   Duration CheckpointGrace{2000};
   /// A team is below (above) the level of all teams with queued work if its
   /// weighted share differs from it by more than this part.
-  double ShareBand = 0.02;
+  double ShareBand = 0.01;
   /// Places kept at a time for single tasks of teams below the level.
   size_t MaxShareHolds = 8;
   /// Room is taken back for at most this many units at a time.
--- a/include/teaselwalk/schedule/team_table.hpp
+++ b/include/teaselwalk/schedule/team_table.hpp
@@ -37,7 +37,10 @@
   int64_t Running = 0;
   int64_t Queued = 0;
   std::array<int64_t, TaskClassCount> QueuedUnits{};
-  double Share = 0; ///< Weighted dominant share; the order of service.
+  /// Weighted dominant share plus what it was above the level lately: the order
+  /// of service.
+  double Share = 0;
+  double Surplus = 0; ///< Time integral of share less level, in seconds.
   int64_t QueuedGangs = 0;
   /// Nothing can start while this version is the same, by lane; 0 if unknown.
   std::array<uint64_t, 2> Blocked{};
@@ -79,13 +82,18 @@
   /// queued: the share at which they would be equal.
   double level() const;
 
+  /// Bring the surplus of all teams up to date. Without it, teams that run
+  /// gangs or fill holes nobody else can use would stay above their share on
+  /// average.
+  void settle(TimePoint Now);
+
   /// Shares are relative to this amount.
   void setCapacity(const Resources &Capacity);
   /// Weighted dominant share of \p Team with \p Extra added.
   double shareWith(Index Team, const Resources &Extra) const;
 
 private:
-  void reorder(Index Team, double Share);
+  void reorder(Index Team);
   void enter(Index Team);
   void leave(Index Team);
 
@@ -93,6 +101,7 @@
   std::unordered_map<TeamId, Index> Lookup;
   std::array<Order, LaneCount> Orders;
   Resources Capacity;
+  std::optional<TimePoint> Settled;
 };
 
 } // namespace teaselwalk::schedule
--- a/src/teaselwalk/schedule/decide.cpp
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -237,6 +237,7 @@
 bool decideFair(SchedulerState &State, TimePoint Now,
                 std::vector<Placement> &Out) {
   refreshShares(State);
+  State.Teams.settle(Now);
   size_t Limit = Out.size() + State.Options.MaxStartsPerDecision;
   refreshFailedSizes(State);
   startHeld(State, Now, Out);
--- a/src/teaselwalk/schedule/team_table.cpp
+++ b/src/teaselwalk/schedule/team_table.cpp
@@ -1,7 +1,25 @@
 #include "teaselwalk/schedule/team_table.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
 namespace teaselwalk::schedule {
 
+namespace {
+
+constexpr Duration SettleInterval{250};
+// Seconds after which a surplus counts for a third.
+constexpr double SurplusMemory = 600;
+// Seconds in which a surplus is paid back. Shorter reacts to single tasks,
+// longer leaves the surplus of a gang unpaid.
+constexpr double SurplusTime = 60;
+// Bound of the surplus in seconds of the level, so that no team is kept from
+// starting work for longer than about this time.
+constexpr double MaxSurplus = 120;
+
+} // namespace
+
 TeamTable::Index TeamTable::findOrAdd(const TeamId &Id) {
   auto [Found, Added] = Lookup.emplace(Id, static_cast<Index>(Accounts.size()));
   if (Added) {
@@ -17,7 +35,7 @@
   Accounts[Team].Settings = Settings;
   Accounts[Team].Present = true;
   Accounts[Team].Blocked = {};
-  reorder(Team, shareWith(Team, Resources()));
+  reorder(Team);
   return Team;
 }
 
@@ -48,7 +66,7 @@
   Account.Charged += Charged;
   Account.Running += Tasks;
   Account.Blocked = {};
-  reorder(Team, shareWith(Team, Resources()));
+  reorder(Team);
 }
 
 void TeamTable::queue(Index Team, TaskClass Class, int64_t Units,
@@ -66,7 +84,7 @@
 void TeamTable::setCapacity(const Resources &Total) {
   Capacity = Total;
   for (Index Team = 0; Team < Accounts.size(); ++Team)
-    reorder(Team, shareWith(Team, Resources()));
+    reorder(Team);
 }
 
 double TeamTable::shareWith(Index Team, const Resources &Extra) const {
@@ -86,9 +104,30 @@
   return Weights > 0 ? Sum / Weights : 0;
 }
 
-void TeamTable::reorder(Index Team, double Share) {
+void TeamTable::settle(TimePoint Now) {
+  if (Settled && Now - *Settled < SettleInterval)
+    return;
+  const double Seconds =
+      Settled ? std::chrono::duration<double>(Now - *Settled).count() : 0;
+  Settled = Now;
+  const double Level = level();
+  const double Kept = std::exp(-Seconds / SurplusMemory);
+  for (Index Team = 0; Team < Accounts.size(); ++Team) {
+    TeamAccount &Account = Accounts[Team];
+    Account.Surplus *= Kept;
+    // A team without work waiting is not owed anything for the time.
+    if (Account.Queued > 0)
+      Account.Surplus += (shareWith(Team, Resources()) - Level) * Seconds;
+    const double Most = MaxSurplus * Level;
+    Account.Surplus = std::clamp(Account.Surplus, -Most, Most);
+    reorder(Team);
+  }
+}
+
+void TeamTable::reorder(Index Team) {
   leave(Team);
-  Accounts[Team].Share = Share;
+  Accounts[Team].Share =
+      shareWith(Team, Resources()) + Accounts[Team].Surplus / SurplusTime;
   enter(Team);
 }
 
