--- a/src/teaselwalk/schedule/reclaim.cpp
+++ b/src/teaselwalk/schedule/reclaim.cpp
@@ -1,7 +1,7 @@
+#include "reclaim_plan.hpp"
 #include "state_functions.hpp"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace teaselwalk::schedule {
 
@@ -9,9 +9,6 @@
 
 using Slot = RunningSet::Slot;
 
-// Bounds of one plan: donors' tasks looked at, and endpoints compared.
-constexpr size_t MaxDonorTasks = 16;
-constexpr size_t DonorTasksPerTask = 4;
 // Plans of one call. The rest waits for the next call, 250 ms later.
 constexpr size_t MaxUrgentPlans = 16;
 constexpr size_t MaxSharePlans = 4;
@@ -24,20 +21,6 @@
   std::vector<Resources> Coming;  ///< Of units that have a hold.
 };
 
-/// What a unit may take from others.
-struct Claim {
-  const Unit *For = nullptr;
-  ReclaimReason Reason = ReclaimReason::Share;
-  double ShareAfter = 0; ///< Donors keep at least this share.
-  bool OwnTeamOnly = false;
-};
-
-struct Plan {
-  std::vector<HeldPlace> Places;
-  std::vector<Slot> Victims;
-  std::vector<Resources> Leaving; ///< Per team, with the victims.
-};
-
 Moving moving(const SchedulerState &State) {
   Moving Result;
   Result.Leaving.resize(State.Teams.size());
@@ -123,173 +106,12 @@
   }
 }
 
-bool isVictim(const SchedulerState &State, const Claim &Wish, const Plan &Soon,
-              Slot At) {
-  const RunningRecord &Record = State.Running.at(At);
-  bool Batch = Record.Class == TaskClass::Batch;
-  bool Service = Record.Class == TaskClass::Service;
-  if (Record.StopAt || (!Batch && !Service))
-    return false;
-  if (Wish.OwnTeamOnly)
-    return Record.Team == Wish.For->Team;
-  if (Wish.Reason == ReclaimReason::Urgent)
-    return true;
-  return Batch && Record.Team != Wish.For->Team &&
-         State.Teams.shareWith(Record.Team,
-                               Resources() - Soon.Leaving[Record.Team] -
-                                   Record.Charged) >= Wish.ShareAfter;
-}
-
-/// Endpoints with tasks of the teams that have most above their share.
-std::vector<EndpointTable::Index> donorEndpoints(const SchedulerState &State,
-                                                 const Claim &Wish,
-                                                 const Plan &Soon) {
-  std::vector<TeamTable::Index> Donors;
-  for (TeamTable::Index Team = 0; Team < State.Teams.size(); ++Team)
-    if (!State.Running.of(Team).empty() &&
-        (!Wish.OwnTeamOnly || Team == Wish.For->Team))
-      Donors.push_back(Team);
-  std::sort(Donors.begin(), Donors.end(), [&](auto A, auto B) {
-    return State.Teams.at(A).Share > State.Teams.at(B).Share;
-  });
-  size_t Left =
-      std::max(MaxDonorTasks, DonorTasksPerTask * Wish.For->Tasks.size());
-  std::vector<EndpointTable::Index> Result;
-  std::unordered_set<EndpointTable::Index> Seen;
-  for (TeamTable::Index Team : Donors) {
-    const auto &Tasks = State.Running.of(Team);
-    size_t Looked = 0;
-    for (auto Next = Tasks.rbegin();
-         Next != Tasks.rend() && Left > 0 && Looked < 4 * MaxDonorTasks;
-         ++Next, ++Looked) {
-      if (!isVictim(State, Wish, Soon, Next->second))
-        continue;
-      --Left;
-      EndpointTable::Index At = State.Running.at(Next->second).Endpoint;
-      if (State.Endpoints.isOpen(At) &&
-          fits(Wish.For->Spec.Size, State.Endpoints.info(At).Capacity) &&
-          Seen.insert(At).second)
-        Result.push_back(At);
-    }
-  }
-  return Result;
-}
-
-/// Room on \p At once all stops so far have ended, beside what is held.
-Resources roomAfterStops(const SchedulerState &State, const Plan &Soon,
-                         const Resources &Size, EndpointTable::Index At) {
-  Resources Room = State.Endpoints.room(At) - State.Endpoints.held(At);
-  for (Slot Which : State.Running.on(At))
-    if (State.Running.at(Which).StopAt)
-      Room += State.Running.at(Which).Charged;
-  for (Slot Which : Soon.Victims)
-    if (State.Running.at(Which).Endpoint == At)
-      Room += State.Running.at(Which).Charged;
-  for (const HeldPlace &Place : Soon.Places)
-    if (Place.Endpoint == At)
-      for (int64_t I = 0; I < Place.Tasks; ++I)
-        Room -= Size;
-  return Room;
-}
-
-/// The victims on \p At that make room for one more task, or nothing.
-std::optional<std::vector<Slot>> victimsOn(const SchedulerState &State,
-                                           const Claim &Wish, Plan Soon,
-                                           EndpointTable::Index At) {
-  const Resources &Size = Wish.For->Spec.Size;
-  Resources Room = roomAfterStops(State, Soon, Size, At);
-  std::vector<Slot> Order(State.Running.on(At));
-  // Batch before services, and the newest first: they lose the least work.
-  std::sort(Order.begin(), Order.end(), [&](Slot A, Slot B) {
-    const RunningRecord &Left = State.Running.at(A);
-    const RunningRecord &Right = State.Running.at(B);
-    return Left.Class != Right.Class ? Left.Class > Right.Class
-                                     : Left.Order > Right.Order;
-  });
-  std::vector<Slot> Victims;
-  for (Slot Next : Order) {
-    if (fits(Size, Room))
-      break;
-    if (std::find(Soon.Victims.begin(), Soon.Victims.end(), Next) !=
-            Soon.Victims.end() ||
-        !isVictim(State, Wish, Soon, Next))
-      continue;
-    const RunningRecord &Record = State.Running.at(Next);
-    Room += Record.Charged;
-    Soon.Leaving[Record.Team] += Record.Charged;
-    Victims.push_back(Next);
-  }
-  if (!fits(Size, Room))
-    return std::nullopt;
-  // Keep those that turn out not to be needed.
-  for (size_t I = Victims.size(); I-- > 0;) {
-    const Resources &Amount = State.Running.at(Victims[I]).Charged;
-    if (!fits(Size, Room - Amount))
-      continue;
-    Room -= Amount;
-    Victims.erase(Victims.begin() + static_cast<std::ptrdiff_t>(I));
-  }
-  return Victims;
-}
-
-void addPlace(const SchedulerState &State, Plan &To, EndpointTable::Index At,
-              const std::vector<Slot> &Victims) {
-  for (Slot Next : Victims) {
-    const RunningRecord &Record = State.Running.at(Next);
-    To.Leaving[Record.Team] += Record.Charged;
-    To.Victims.push_back(Next);
-  }
-  for (HeldPlace &Place : To.Places)
-    if (Place.Endpoint == At) {
-      ++Place.Tasks;
-      return;
-    }
-  To.Places.push_back({At, 1});
-}
-
-double cost(const SchedulerState &State, const std::vector<Slot> &Victims) {
-  Resources Sum;
-  for (Slot Next : Victims)
-    Sum += State.Running.at(Next).Charged;
-  return dominantShare(Sum, State.Endpoints.totalCapacity());
-}
-
-bool planSingle(const SchedulerState &State, const Claim &Wish, Plan &Out) {
-  std::optional<std::vector<Slot>> Best;
-  EndpointTable::Index Where = 0;
-  for (EndpointTable::Index At : donorEndpoints(State, Wish, Out)) {
-    std::optional<std::vector<Slot>> Victims = victimsOn(State, Wish, Out, At);
-    if (Victims && (!Best || cost(State, *Victims) < cost(State, *Best))) {
-      Best = std::move(Victims);
-      Where = At;
-    }
-  }
-  if (Best)
-    addPlace(State, Out, Where, *Best);
-  return Best.has_value();
-}
-
-bool planGang(const SchedulerState &State, const Claim &Wish, Plan &Out) {
-  size_t Missing = Wish.For->Tasks.size();
-  for (EndpointTable::Index At : donorEndpoints(State, Wish, Out))
-    while (Missing > 0) {
-      std::optional<std::vector<Slot>> Victims =
-          victimsOn(State, Wish, Out, At);
-      if (!Victims)
-        break;
-      addPlace(State, Out, At, *Victims);
-      --Missing;
-    }
-  return Missing == 0;
-}
-
 /// Stop others for a unit and keep the room for it.
 bool claimRoom(SchedulerState &State, const Claim &Wish, Moving &Amounts,
                TimePoint Now, std::vector<ReclaimStep> &Out) {
   Plan Found;
   Found.Leaving = Amounts.Leaving;
-  if (!(Wish.For->isGang() ? planGang(State, Wish, Found)
-                           : planSingle(State, Wish, Found)))
+  if (!planRoom(State, Wish, Found))
     return false;
   for (Slot Victim : Found.Victims)
     beginStop(State, Victim, Wish.Reason, Now, Out);
