schedule: try a gang again when no further room appears

Cause: a team whose gang was put off for a moment counted as blocked until more room appeared, so a gang that fitted could wait without bound while another held the reservation. A new test showed it. Change: teams with gangs are always looked at.

--- a/include/teaselwalk/schedule/scheduler_state.hpp
+++ b/include/teaselwalk/schedule/scheduler_state.hpp
@@ -78,8 +78,6 @@
   /// Grows when a size may fit again. Starts above the value that marks a team
   /// as not blocked.
   uint64_t Version = 1;
-  /// Grows when room appears anywhere.
-  uint64_t RoomVersion = 1;
 };
 
 /// All state of a scheduler. The functions of the module work on it.
--- a/src/teaselwalk/schedule/decide.cpp
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -148,11 +148,13 @@
   return false;
 }
 
-/// What must change before a blocked team is looked at again. A gang may fit
-/// once more room appears anywhere, a single task once its size may fit.
-uint64_t blockedVersion(const SchedulerState &State, TeamTable::Index Team) {
-  return State.Teams.at(Team).QueuedGangs > 0 ? State.Failed.RoomVersion
-                                              : State.Failed.Version;
+/// Whether nothing of the team can start since it was last looked at. Gangs are
+/// tried by time as well, so that their teams are always looked at.
+bool isKnownBlocked(const SchedulerState &State, TeamTable::Index Team,
+                    TeamTable::Lane Lane) {
+  const TeamAccount &Account = State.Teams.at(Team);
+  return Account.QueuedGangs == 0 &&
+         Account.Blocked[Lane] == State.Failed.Version;
 }
 
 bool tryTeam(SchedulerState &State, TeamTable::Index Team, TeamTable::Lane Lane,
@@ -205,8 +207,7 @@
     if (Out.size() >= Limit)
       return true;
     const auto [Share, Team] = *Next;
-    const bool Known =
-        State.Teams.at(Team).Blocked[Lane] == blockedVersion(State, Team);
+    const bool Known = isKnownBlocked(State, Team, Lane);
     if (Gate.isClosedFor(Share)) {
       // Calls are short and somebody waits for them, so they may still start.
       if (!Known && tryClass(State, Team, TaskClass::Call, Now, Out)) {
@@ -223,7 +224,7 @@
       Next = Order.lower_bound({Share, Team});
       continue;
     }
-    State.Teams.setBlocked(Team, Lane, blockedVersion(State, Team));
+    State.Teams.setBlocked(Team, Lane, State.Failed.Version);
     Gate.noteBlocked(State, Team);
     ++Next;
   }
--- a/src/teaselwalk/schedule/policy_test.cpp
+++ b/src/teaselwalk/schedule/policy_test.cpp
@@ -90,6 +90,26 @@
   EXPECT_LE(*GangStart, timeAt(23000));
 }
 
+// Guards against a gang that found no room, is put off for a moment, and is
+// then forgotten because no more room appears.
+TEST_F(PolicyTest, GangIsTriedAgainWithoutFurtherChange) {
+  endpoints(4);
+  ASSERT_TRUE(S.admit(TaskId("short"), work("red", Machine, 5000), Now));
+  ASSERT_TRUE(S.admit(TaskId("long"), work("red", Machine, 9000), Now));
+  ASSERT_EQ(decide().size(), 2U);
+  // Takes the reservation: two free endpoints and that of the short task.
+  ASSERT_TRUE(S.admitGang(names("a", 3), work("blue", Machine, 1000), Now));
+  EXPECT_TRUE(decide().empty());
+  ASSERT_TRUE(S.admitGang(names("b", 2), work("red", Half, 9000), Now));
+  EXPECT_TRUE(decide().empty());
+  Now = timeAt(50);
+  S.ended(TaskId("long"));
+  size_t Started = 0;
+  for (; Now < timeAt(1000); Now += Duration(100))
+    Started += decide().size();
+  EXPECT_EQ(Started, 2U);
+}
+
 // Guards against gangs packed into one rack where more racks have room.
 TEST_F(PolicyTest, GangSpreadsOverRacks) {
   endpoints(32);
--- a/src/teaselwalk/schedule/state_functions.cpp
+++ b/src/teaselwalk/schedule/state_functions.cpp
@@ -76,7 +76,6 @@
   }
   State.Endpoints.clearGrown();
   State.BackfillRoom = backfillRoom(State);
-  ++State.Failed.RoomVersion;
   if (Held || Sizes.size() != Before)
     ++State.Failed.Version;
 }
