--- a/src/teaselwalk/cli/bench_command.cpp
+++ b/src/teaselwalk/cli/bench_command.cpp
@@ -3,7 +3,11 @@
 #include "teaselwalk/bench/schedule_bench.hpp"
 #include "teaselwalk/cli/command.hpp"
 
+#include <charconv>
+#include <cstdint>
 #include <iostream>
+#include <string>
+#include <system_error>
 
 namespace teaselwalk::cli {
 
@@ -20,6 +24,15 @@
   --policy P  fair or first_fit_fcfs; both when absent.
 )";
 
+uint64_t parseSeed(const std::string &Text) {
+  uint64_t Seed = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Problem] = std::from_chars(Text.data(), End, Seed);
+  if (Problem != std::errc() || Stop != End)
+    throw InvalidInput("--seed", "must be a whole number from 0 to 2^64 - 1");
+  return Seed;
+}
+
 int runSchedule(uint64_t Seed, const docopt::value &PolicyName) {
   bench::ScheduleBenchOptions Options;
   Options.Seed = Seed;
@@ -33,7 +46,7 @@
 }
 
 int run(const Arguments &Args) {
-  auto Seed = static_cast<uint64_t>(Args.at("--seed").asLong());
+  uint64_t Seed = parseSeed(Args.at("--seed").asString());
   if (Args.at("schedule").asBool())
     return runSchedule(Seed, Args.at("--policy"));
   bench::DecisionsOptions Options;
