--- a/src/teaselwalk/bench/decisions.cpp
+++ b/src/teaselwalk/bench/decisions.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teaselwalk::bench {
@@ -183,14 +184,14 @@
 
 /// Exponent of the cost as a power of the number of endpoints, by least
 /// squares on logarithms. 1 is proportional growth.
-double exponent(const std::vector<double> &Costs) {
+double exponent(const std::vector<std::pair<double, double>> &Costs) {
   double SumX = 0;
   double SumY = 0;
   double SumXX = 0;
   double SumXY = 0;
-  for (size_t I = 0; I < Costs.size(); ++I) {
-    double X = std::log(EndpointCounts[I]);
-    double Y = std::log(Costs[I]);
+  for (const auto &[Endpoints, Cost] : Costs) {
+    double X = std::log(Endpoints);
+    double Y = std::log(Cost);
     SumX += X;
     SumY += Y;
     SumXX += X * X;
@@ -204,9 +205,10 @@
 
 void measureDecisions(const DecisionsOptions &Options, std::ostream &Out) {
   for (const Level &Load : Levels) {
-    std::vector<double> Costs;
+    std::vector<std::pair<double, double>> Costs;
     for (int Endpoints : EndpointCounts)
-      Costs.push_back(measureLevel(Endpoints, Load, Options, Out));
+      Costs.emplace_back(Endpoints,
+                         measureLevel(Endpoints, Load, Options, Out));
     printLine(Out, std::string("full_") + Load.Name + "_slope", exponent(Costs),
               "exponent");
   }
