--- a/include/teaselwalk/schedule/scheduler_state.hpp
+++ b/include/teaselwalk/schedule/scheduler_state.hpp
@@ -25,14 +25,25 @@
   /// it), which bounds its time.
   size_t MaxStartsPerDecision = 64;
   /// Lanes of a team and class that one decision looks at, oldest first.
-  size_t MaxLanes = 16;
+  size_t MaxLanes = 48;
+  /// So many younger units of its team and class may start before a unit. After
+  /// that it is tried first whenever there is room.
+  uint32_t MaxOvertaken = 64;
   /// A unit that has not fitted for so long may take the reservation.
   Duration AgeLimit{30000};
   /// A team below its share takes room back after a wait of this length.
-  Duration ShareDelay{3000};
+  Duration ShareDelay{10000};
+  /// It takes from teams that keep at least this multiple of its own share. The
+  /// margin keeps the normal ends of tasks from causing reclaims.
+  double ShareMargin = 1.25;
   /// From the checkpoint to the stop of a reclaimed task. With the stop itself
   /// taking up to 1 s, urgent work starts within 4.4 s.
   Duration CheckpointGrace{2000};
+  /// A team is below (above) the level of all teams with queued work if its
+  /// weighted share differs from it by more than this part.
+  double ShareBand = 0.01;
+  /// Places kept at a time for single tasks of teams below the level.
+  size_t MaxShareHolds = 8;
   /// Room is taken back for at most this many units at a time.
   size_t MaxReclaims = 32;
   /// Largest delay between two tries of a gang without reservation.
@@ -56,13 +67,17 @@
   std::vector<HeldPlace> Places;
   TimePoint Start;
   bool Reclaiming = false; ///< Running tasks are being stopped for it.
+  bool ForShare = false;   ///< A single task of a team below its share.
   size_t Unsatisfied = 0;  ///< A place that had no room when last looked at.
 };
 
-/// Sizes that did not fit since room last appeared.
+/// Sizes that fit on no endpoint now, without those that are larger than
+/// another one in every component.
 struct FailedSizes {
-  uint64_t RoomVersion = 0;
   std::vector<Resources> Sizes;
+  /// Grows when a size may fit again. Starts above the value that marks a team
+  /// as not blocked.
+  uint64_t Version = 1;
 };
 
 /// All state of a scheduler. The functions of the module work on it.
@@ -77,8 +92,11 @@
   /// The unit that has the one reservation without reclaim.
   std::optional<UnitId> Reserved;
   FailedSizes Failed;
-  /// Tasks that were asked to end, by the time of the next stop. Rows of tasks
-  /// that have ended are dropped when their time comes.
+  /// Upper bound of the room for backfill on each place of the reservation.
+  Resources BackfillRoom;
+  /// Calls of `reclaim`, to start with another team each time.
+  size_t ReclaimCalls = 0;
+  /// Running tasks that were asked to end, by the time of the next stop.
   std::set<std::pair<TimePoint, TaskId>> Stops;
   uint64_t CapacityVersion = 0;
 };
--- a/src/teaselwalk/schedule/decide.cpp
+++ b/src/teaselwalk/schedule/decide.cpp
@@ -1,6 +1,7 @@
 #include "state_functions.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace teaselwalk::schedule {
 
@@ -83,18 +84,79 @@
   return true;
 }
 
+/// Whether it is worth looking for room, from what is already known.
+bool mayFit(const SchedulerState &State, const LaneHead &Head, TimePoint Now) {
+  return !isKnownNotToFit(State, Head.Size) ||
+         (!Head.Gang && covers(State.BackfillRoom, Head.Size) &&
+          isInTimeForBackfill(State, Head.RunTime, Now));
+}
+
+/// The oldest heads of lanes that may fit, largest first: large tasks find room
+/// seldom, and small ones fill what is left. Those that were overtaken too
+/// often go first.
+std::vector<UnitId> candidates(const SchedulerState &State,
+                               TeamTable::Index Team, TaskClass Class,
+                               TimePoint Now) {
+  struct Candidate {
+    bool Overtaken;
+    double Size;
+    UnitId Id;
+  };
+  std::vector<Candidate> Found;
+  const Resources &Whole = State.Endpoints.totalCapacity();
+  size_t Left = State.Options.MaxLanes;
+  for (const auto &[Id, Head] : State.Queue.lanes(Team, Class).heads()) {
+    if (Left-- == 0)
+      break;
+    if (!mayFit(State, Head, Now))
+      continue;
+    bool Overtaken =
+        State.Queue.find(Id)->Overtaken >= State.Options.MaxOvertaken;
+    Found.push_back(
+        {Overtaken, Overtaken ? 0 : dominantShare(Head.Size, Whole), Id});
+  }
+  std::sort(Found.begin(), Found.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::make_tuple(!A.Overtaken, -A.Size, A.Id) <
+                     std::make_tuple(!B.Overtaken, -B.Size, B.Id);
+            });
+  std::vector<UnitId> Result;
+  Result.reserve(Found.size());
+  for (const Candidate &Next : Found)
+    Result.push_back(Next.Id);
+  return Result;
+}
+
+/// Count that \p Started went before older units of its team and class.
+void noteOvertaking(SchedulerState &State, TeamTable::Index Team,
+                    TaskClass Class, UnitId Started) {
+  for (const auto &[Id, Head] : State.Queue.lanes(Team, Class).heads()) {
+    if (Id >= Started)
+      return;
+    ++State.Queue.find(Id)->Overtaken;
+  }
+}
+
 bool tryClass(SchedulerState &State, TeamTable::Index Team, TaskClass Class,
               TimePoint Now, std::vector<Placement> &Out) {
-  size_t Left = State.Options.MaxLanes;
-  for (const auto &[Head, Lane] : State.Queue.lanes(Team, Class).heads()) {
-    if (tryUnit(State, Head, Now, Out))
-      return true;
-    if (--Left == 0)
-      return false;
+  for (UnitId Id : candidates(State, Team, Class, Now)) {
+    if (!tryUnit(State, Id, Now, Out))
+      continue;
+    noteOvertaking(State, Team, Class, Id);
+    return true;
   }
   return false;
 }
 
+/// Whether nothing of the team can start since it was last looked at. Gangs are
+/// tried by time as well, so that their teams are always looked at.
+bool isKnownBlocked(const SchedulerState &State, TeamTable::Index Team,
+                    TeamTable::Lane Lane) {
+  const TeamAccount &Account = State.Teams.at(Team);
+  return Account.QueuedGangs == 0 &&
+         Account.Blocked[Lane] == State.Failed.Version;
+}
+
 bool tryTeam(SchedulerState &State, TeamTable::Index Team, TeamTable::Lane Lane,
              TimePoint Now, std::vector<Placement> &Out) {
   if (Lane == TeamTable::UrgentLane)
@@ -106,20 +168,65 @@
   return false;
 }
 
+/// Teams above the level may not fill every hole while a team below it waits
+/// for room for a single task: tasks of teams with small sizes would keep the
+/// holes too small for the others forever.
+class ShareGate {
+public:
+  ShareGate(const SchedulerState &State, TeamTable::Lane Lane)
+      : Applies(Lane == TeamTable::OtherLane) {
+    refresh(State);
+  }
+
+  void refresh(const SchedulerState &State) {
+    if (Applies)
+      Level = State.Teams.level();
+  }
+  void noteBlocked(const SchedulerState &State, TeamTable::Index Team) {
+    Closed = Closed || (Applies &&
+                        State.Teams.at(Team).Share <
+                            Level * (1 - State.Options.ShareBand) &&
+                        oldestSingle(State, Team) != nullptr);
+  }
+  bool isClosedFor(double Share) const { return Closed && Share > Level; }
+
+private:
+  bool Applies;
+  bool Closed = false;
+  double Level = 0;
+};
+
 /// Serve teams in order of their shares. Teams that were passed over stay
 /// blocked for the rest of the pass, since room only gets less.
 bool servePass(SchedulerState &State, TeamTable::Lane Lane, size_t Limit,
                TimePoint Now, std::vector<Placement> &Out) {
   const TeamTable::Order &Order = State.Teams.order(Lane);
+  ShareGate Gate(State, Lane);
   auto Next = Order.begin();
   while (Next != Order.end()) {
     if (Out.size() >= Limit)
       return true;
-    std::pair<double, TeamTable::Index> Key = *Next;
-    if (tryTeam(State, Key.second, Lane, Now, Out))
-      Next = Order.lower_bound(Key);
-    else
-      ++Next;
+    const auto [Share, Team] = *Next;
+    const bool Known = isKnownBlocked(State, Team, Lane);
+    if (Gate.isClosedFor(Share)) {
+      // Calls are short and somebody waits for them, so they may still start.
+      if (!Known && tryClass(State, Team, TaskClass::Call, Now, Out)) {
+        refreshFailedSizes(State);
+        Next = Order.lower_bound({Share, Team});
+      } else {
+        ++Next;
+      }
+      continue;
+    }
+    if (!Known && tryTeam(State, Team, Lane, Now, Out)) {
+      refreshFailedSizes(State);
+      Gate.refresh(State);
+      Next = Order.lower_bound({Share, Team});
+      continue;
+    }
+    State.Teams.setBlocked(Team, Lane, State.Failed.Version);
+    Gate.noteBlocked(State, Team);
+    ++Next;
   }
   return false;
 }
@@ -140,12 +247,16 @@
 bool decideFair(SchedulerState &State, TimePoint Now,
                 std::vector<Placement> &Out) {
   refreshShares(State);
+  State.Teams.settle(Now);
   size_t Limit = Out.size() + State.Options.MaxStartsPerDecision;
+  refreshFailedSizes(State);
   startHeld(State, Now, Out);
+  refreshFailedSizes(State);
   if (servePass(State, TeamTable::UrgentLane, Limit, Now, Out) ||
       servePass(State, TeamTable::OtherLane, Limit, Now, Out))
     return true;
   updateReservation(State, Now);
+  updateShareHolds(State, Now);
   return false;
 }
 
--- a/src/teaselwalk/schedule/reservation.cpp
+++ b/src/teaselwalk/schedule/reservation.cpp
@@ -1,6 +1,7 @@
 #include "state_functions.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace teaselwalk::schedule {
 
@@ -16,6 +17,7 @@
 // Bounds the cost of planning on a large cluster.
 constexpr size_t EndpointsPerTask = 4;
 constexpr size_t MinEndpoints = 64;
+constexpr UnitId PlanStride = 61;
 constexpr Duration MinOverrun{1000};
 // A reservation whose start has passed for so long is planned anew, because
 // tasks ran longer than declared.
@@ -99,9 +101,12 @@
                             static_cast<int64_t>(Value.Tasks.size()));
 }
 
-/// The oldest gang or aged unit that could run within its team's allowance.
+/// The oldest gang, or an older single task that has waited for `AgeLimit`,
+/// that could run within its team's allowance. Single tasks of teams above the
+/// level do not count: their team as a whole is not starved, and a team with a
+/// long queue would keep the reservation for ever.
 const Unit *nextForReservation(const SchedulerState &State, TimePoint Now) {
-  // Units looked at; the rest wait for the next decision.
+  // Gangs looked at; the rest wait for the next decision.
   constexpr int MaxLooked = 64;
   int Left = MaxLooked;
   const Unit *Best = nullptr;
@@ -114,19 +119,80 @@
       break;
     }
   }
-  Left = MaxLooked;
-  for (const auto &[Id, Value] : State.Queue.units()) {
-    if (Left-- == 0 || (Best && Id >= Best->Id) ||
-        Value.Arrived + State.Options.AgeLimit > Now)
+  const double Level = State.Teams.level();
+  for (const auto &[Share, Team] : State.Teams.order(TeamTable::OtherLane)) {
+    if (Share > Level)
       break;
-    if (mayReserve(State, Value))
-      return &Value;
+    const Unit *Value = oldestSingle(State, Team);
+    if (Value && Value->Arrived + State.Options.AgeLimit <= Now &&
+        (!Best || Value->Id < Best->Id))
+      Best = Value;
   }
   return Best;
 }
 
+/// Forget places that came too late or that the team no longer needs. Returns
+/// the teams that keep one.
+std::set<TeamTable::Index> dropShareHolds(SchedulerState &State, double Below,
+                                          TimePoint Now) {
+  std::set<TeamTable::Index> Kept;
+  std::vector<UnitId> Dropped;
+  for (const auto &[Id, Value] : State.Holds) {
+    if (!Value.ForShare)
+      continue;
+    TeamTable::Index Team = State.Queue.find(Id)->Team;
+    if (State.Teams.at(Team).Share >= Below || Now >= Value.Start + ReplanDelay)
+      Dropped.push_back(Id);
+    else
+      Kept.insert(Team);
+  }
+  for (UnitId Id : Dropped)
+    removeHold(State, Id);
+  return Kept;
+}
+
 } // namespace
 
+const Unit *oldestSingle(const SchedulerState &State, TeamTable::Index Team) {
+  for (TaskClass Class :
+       {TaskClass::Call, TaskClass::Service, TaskClass::Batch}) {
+    size_t Left = State.Options.MaxLanes;
+    for (const auto &[First, Head] : State.Queue.lanes(Team, Class).heads()) {
+      if (Left-- == 0)
+        break;
+      if (Head.Gang)
+        continue;
+      // The head may already have a place; the next of its size then counts.
+      for (UnitId Next : *Head.Lane) {
+        const Unit &Value = *State.Queue.find(Next);
+        if (mayReserve(State, Value))
+          return &Value;
+        if (State.Holds.count(Next) == 0)
+          break;
+      }
+    }
+  }
+  return nullptr;
+}
+
+void updateShareHolds(SchedulerState &State, TimePoint Now) {
+  double Below = State.Teams.level() * (1 - State.Options.ShareBand);
+  std::set<TeamTable::Index> Kept = dropShareHolds(State, Below, Now);
+  for (const auto &[Share, Team] : State.Teams.order(TeamTable::OtherLane)) {
+    if (Share >= Below || Kept.size() >= State.Options.MaxShareHolds)
+      return;
+    const Unit *Next =
+        Kept.count(Team) == 0 ? oldestSingle(State, Team) : nullptr;
+    if (!Next)
+      continue;
+    if (std::optional<Hold> Plan = planHold(State, *Next, Now)) {
+      Plan->ForShare = true;
+      Kept.insert(Team);
+      addHold(State, std::move(*Plan));
+    }
+  }
+}
+
 void updateReservation(SchedulerState &State, TimePoint Now) {
   if (State.Reserved) {
     const Unit &Value = *State.Queue.find(*State.Reserved);
@@ -142,6 +208,9 @@
   if (std::optional<Hold> Plan = planHold(State, *Next, Now)) {
     State.Reserved = Next->Id;
     addHold(State, std::move(*Plan));
+    // What was blocked may now run inside the reserved room.
+    State.BackfillRoom = backfillRoom(State);
+    ++State.Failed.Version;
   }
 }
 
--- a/src/teaselwalk/schedule/state_functions.hpp
+++ b/src/teaselwalk/schedule/state_functions.hpp
@@ -24,7 +24,9 @@
 /// Bring shares up to date with the endpoints' capacity.
 void refreshShares(SchedulerState &State);
 
-bool isKnownNotToFit(SchedulerState &State, const Resources &Need);
+/// Forget sizes that may fit again because room has appeared.
+void refreshFailedSizes(SchedulerState &State);
+bool isKnownNotToFit(const SchedulerState &State, const Resources &Need);
 void noteNotFitting(SchedulerState &State, const Resources &Need);
 
 bool decideFair(SchedulerState &State, TimePoint Now,
@@ -38,9 +40,21 @@
 /// Give the one reservation to the oldest gang or aged unit that could have
 /// room, if it is free.
 void updateReservation(SchedulerState &State, TimePoint Now);
+/// The oldest single task of a team, other than urgent, that has no place kept
+/// and is within the allowance; null if there is none.
+const Unit *oldestSingle(const SchedulerState &State, TeamTable::Index Team);
+/// Keep a place for one task of each team that is below its share, since
+/// smaller tasks of other teams would fill every hole first.
+void updateShareHolds(SchedulerState &State, TimePoint Now);
 /// The endpoints of the unit's hold if all places have room now, else empty.
 std::vector<EndpointTable::Index> satisfiedPlaces(SchedulerState &State,
                                                   UnitId Unit);
+/// The largest room in each component that backfill finds on a place of the
+/// reservation; zero without a reservation.
+Resources backfillRoom(const SchedulerState &State);
+/// Whether work that runs for \p RunTime ends before the reservation starts.
+bool isInTimeForBackfill(const SchedulerState &State, Duration RunTime,
+                         TimePoint Now);
 /// An endpoint where \p Value may run inside room held for others, since it
 /// ends before the room is needed.
 std::optional<EndpointTable::Index>
--- a/src/teaselwalk/schedule/team_table.cpp
+++ b/src/teaselwalk/schedule/team_table.cpp
@@ -1,7 +1,25 @@
 #include "teaselwalk/schedule/team_table.hpp"
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
 namespace teaselwalk::schedule {
 
+namespace {
+
+constexpr Duration SettleInterval{250};
+// Seconds after which a surplus counts for a third.
+constexpr double SurplusMemory = 600;
+// Seconds in which a surplus is paid back. Shorter reacts to single tasks,
+// longer leaves the surplus of a gang unpaid.
+constexpr double SurplusTime = 60;
+// Bound of the surplus in seconds of the level, so that no team is kept from
+// starting work for longer than about this time.
+constexpr double MaxSurplus = 120;
+
+} // namespace
+
 TeamTable::Index TeamTable::findOrAdd(const TeamId &Id) {
   auto [Found, Added] = Lookup.emplace(Id, static_cast<Index>(Accounts.size()));
   if (Added) {
@@ -16,8 +34,8 @@
   Index Team = findOrAdd(Id);
   Accounts[Team].Settings = Settings;
   Accounts[Team].Present = true;
-  Accounts[Team].BlockedRoom = 0;
-  reorder(Team, shareWith(Team, Resources()));
+  Accounts[Team].Blocked = {};
+  reorder(Team);
   return Team;
 }
 
@@ -47,8 +65,8 @@
   Account.Declared += Declared;
   Account.Charged += Charged;
   Account.Running += Tasks;
-  Account.BlockedRoom = 0;
-  reorder(Team, shareWith(Team, Resources()));
+  Account.Blocked = {};
+  reorder(Team);
 }
 
 void TeamTable::queue(Index Team, TaskClass Class, int64_t Units,
@@ -56,15 +74,17 @@
   leave(Team);
   TeamAccount &Account = Accounts[Team];
   Account.Queued += Tasks;
+  if (Tasks != Units)
+    Account.QueuedGangs += Units;
   Account.QueuedUnits[static_cast<size_t>(Class)] += Units;
-  Account.BlockedRoom = 0;
+  Account.Blocked = {};
   enter(Team);
 }
 
 void TeamTable::setCapacity(const Resources &Total) {
   Capacity = Total;
   for (Index Team = 0; Team < Accounts.size(); ++Team)
-    reorder(Team, shareWith(Team, Resources()));
+    reorder(Team);
 }
 
 double TeamTable::shareWith(Index Team, const Resources &Extra) const {
@@ -73,9 +93,41 @@
   return dominantShare(Account.Charged + Extra, Capacity) / Weight;
 }
 
-void TeamTable::reorder(Index Team, double Share) {
+double TeamTable::level() const {
+  double Sum = 0;
+  double Weights = 0;
+  for (const auto &[Share, Team] : Orders[OtherLane]) {
+    double Weight = Accounts[Team].Settings.Weight;
+    Sum += Share * Weight;
+    Weights += Weight;
+  }
+  return Weights > 0 ? Sum / Weights : 0;
+}
+
+void TeamTable::settle(TimePoint Now) {
+  if (Settled && Now - *Settled < SettleInterval)
+    return;
+  const double Seconds =
+      Settled ? std::chrono::duration<double>(Now - *Settled).count() : 0;
+  Settled = Now;
+  const double Level = level();
+  const double Kept = std::exp(-Seconds / SurplusMemory);
+  for (Index Team = 0; Team < Accounts.size(); ++Team) {
+    TeamAccount &Account = Accounts[Team];
+    Account.Surplus *= Kept;
+    // A team without work waiting is not owed anything for the time.
+    if (Account.Queued > 0)
+      Account.Surplus += (shareWith(Team, Resources()) - Level) * Seconds;
+    const double Most = MaxSurplus * Level;
+    Account.Surplus = std::clamp(Account.Surplus, -Most, Most);
+    reorder(Team);
+  }
+}
+
+void TeamTable::reorder(Index Team) {
   leave(Team);
-  Accounts[Team].Share = Share;
+  Accounts[Team].Share =
+      shareWith(Team, Resources()) + Accounts[Team].Surplus / SurplusTime;
   enter(Team);
 }
 
