engine: fix a task id read after its ledger entry and a false "not run"

Cause 1: ShardWorker::end takes the attempt by reference; three callers pass the id inside the ledger entry that it destroys, and the id was read after that. Ruled out: the world (the same address in a trace of ShardWorker::settleTask). Change: end works on its copy.

--- a/include/teaselwalk/world/world.hpp
+++ b/include/teaselwalk/world/world.hpp
@@ -166,7 +166,8 @@
   void observeWrite(const protocol::StoreRequest &Request,
                     const protocol::StoreReply &Reply);
   void sabotageRun(const std::string &Name, const protocol::RunCommand &Run);
-  void sabotageState(engine::EndpointReply &Reply) const;
+  void sabotageState(const engine::EndpointCommand &Message,
+                     engine::EndpointReply &Reply) const;
   protocol::StoreReply applyToStore(const protocol::StoreRequest &Request);
   void record(size_t Index, const engine::RecordEvent &Value);
   void answer(const engine::AnswerCall &Value);
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -290,5 +290,43 @@
     EXPECT_EQ(Row.second->inUse(), Resources());
 }
 
+// Guards against "not run" for an idempotent call whose first attempt was
+// stopped and that finds no room again (I7).
+TEST(EngineTest, StoppedCallIsNotReportedAsNotRun) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  // Otherwise the endpoint may report the end before the stop is answered.
+  W.LoseRunAnswers = 1;
+  Token Asked = W.call(0, R"({"run_ms":2500})", true, Duration(3000));
+  W.runFor(Duration(100));
+  ASSERT_EQ(W.runs().size(), 1U);
+  config::Document Next = W.document();
+  config::DataCentre Other = Next.DataCentres[0];
+  Other.Name = DataCentreId("other");
+  Next.DataCentres.push_back(Other);
+  Next.DataCentres[0].State = config::DataCentreState::Out;
+  W.applyDocument(Next);
+  W.runFor(Duration(6000));
+  EXPECT_EQ(W.CallAnswers[Asked].Outcome, Verdict::MayHaveRun)
+      << W.CallAnswers[Asked].Message;
+}
+
+// Guards against a task's id that is read after its ledger entry is destroyed.
+TEST(EngineTest, VanishedTaskKeepsItsId) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 6, 5000), "job-1");
+  W.runFor(Duration(1500));
+  for (const auto &Row : W.Endpoints)
+    W.crashEndpoint(Row.first);
+  EXPECT_TRUE(jobEnds(W, 0, W.JobAnswers[Sent].Job, Duration(60000)));
+  size_t Named = 0;
+  for (const std::string &Line : W.Timeline)
+    if (Line.find(" task_finished ") != std::string::npos)
+      Named += Line.find("task=" + W.JobAnswers[Sent].Job.str()) !=
+               std::string::npos;
+  EXPECT_EQ(Named, 12U);
+}
+
 } // namespace
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/shard_worker_run.cpp
+++ b/src/teaselwalk/engine/shard_worker_run.cpp
@@ -220,17 +220,18 @@
   ActiveTask *Entry = Ledger.find(Id);
   if (!Entry)
     return;
+  // `Id` may be part of the entry, which is destroyed here.
   ActiveTask Ended = *Entry;
-  Ledger.erase(Id.Task);
-  Queue.ended(Id.Task);
+  Ledger.erase(Ended.Id.Task);
+  Queue.ended(Ended.Id.Task);
   if (Kind != EndKind::NeverStarted)
-    record(EventName::TaskFinished, {{"task", Id.Task.str()},
+    record(EventName::TaskFinished, {{"task", Ended.Id.Task.str()},
                                      {"endpoint", Ended.Endpoint.str()},
                                      {"ok", Ok ? "true" : "false"}});
   if (Ended.Place)
-    endJobTask(Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
+    endJobTask(Ended.Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
   else
-    endCall(Id, Ended.Endpoint, Kind, Ok, Result, Now);
+    endCall(Ended.Id, Ended.Endpoint, Kind, Ok, Result, Now);
 }
 
 void ShardWorker::endCall(const protocol::Attempt &Id,
@@ -255,8 +256,10 @@
     return answerCall(Id.Task, std::move(Answer));
   }
   // The attempt has ended, so an idempotent call may run again.
-  if (Call.Request.Idempotent && Now < Call.DeadlineAt)
+  if (Call.Request.Idempotent && Now < Call.DeadlineAt) {
+    Found->second.Earlier = Verdict::MayHaveRun;
     return requeueCall(Id.Task, Now);
+  }
   Answer.Outcome = Verdict::MayHaveRun;
   Answer.Reason = protocol::Refusal::EndpointFailed;
   Answer.Message = "the endpoint gave no result: " + Result;
@@ -327,6 +330,7 @@
   auto Found = Calls.find(Task);
   OpenCall Call = std::move(Found->second);
   Calls.erase(Found);
+  Answer.Outcome = combine(Call.Earlier, Answer.Outcome);
   Call.Answer(Answer);
 }
 
--- a/src/teaselwalk/world/links.cpp
+++ b/src/teaselwalk/world/links.cpp
@@ -118,8 +118,12 @@
   }
 }
 
-void World::sabotageState(EndpointReply &Reply) const {
+void World::sabotageState(const EndpointCommand &Message,
+                          EndpointReply &Reply) const {
   auto *State = std::get_if<protocol::EndpointState>(&Reply);
+  if (State && Options.Fault == Sabotage::TwoOwners)
+    State->Owner =
+        std::visit([](const auto &Command) { return Command.Owner; }, Message);
   if (State && Options.Fault == Sabotage::HideLeaving)
     State->Leaving = false;
 }
@@ -177,7 +181,7 @@
   post(delay(), [this, Index, Incarnation, Step, Name, Fail] {
     fakes::EndpointModel &Model = *Endpoints.at(Name);
     EndpointReply Reply = applyCommand(Model, Step.Message);
-    sabotageState(Reply);
+    sabotageState(Step.Message, Reply);
     const auto *Run = std::get_if<protocol::RunCommand>(&Step.Message);
     bool Started = Run && std::holds_alternative<RunStarted>(Reply);
     if (Started)
