--- a/src/teaselwalk/cli/bench_command.cpp
+++ b/src/teaselwalk/cli/bench_command.cpp
@@ -1,4 +1,5 @@
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/bench/capacity.hpp"
 #include "teaselwalk/bench/decisions.hpp"
 #include "teaselwalk/bench/schedule_bench.hpp"
 #include "teaselwalk/cli/command.hpp"
@@ -9,11 +10,13 @@
 
 namespace {
 
-constexpr const char *Usage = R"(Measure scheduling decisions.
+constexpr const char *Usage =
+    R"(Measure scheduling decisions and the cost of control.
 
 Usage:
   teaselwalk bench decisions [--seed N]
   teaselwalk bench schedule [--seed N] [--policy P]
+  teaselwalk bench capacity [--seed N]
 
 Options:
   --seed N    Seed of the workload [default: 1].
@@ -36,6 +39,10 @@
   auto Seed = static_cast<uint64_t>(Args.at("--seed").asLong());
   if (Args.at("schedule").asBool())
     return runSchedule(Seed, Args.at("--policy"));
+  if (Args.at("capacity").asBool()) {
+    bench::measureCapacity(Seed, std::cout);
+    return ExitOk;
+  }
   bench::DecisionsOptions Options;
   Options.Seed = Seed;
   bench::measureDecisions(Options, std::cout);
