engine: refresh one endpoint at a renewal answer instead of all

Cause: every renewal answer refreshed every endpoint of the shard in the scheduler, so engine CPU grew with the square of the endpoints. Change: an answer refreshes its own endpoint; the tick refreshes all, and a start checks its endpoint again as before. measure.sh uses a team that may use the queue and ends its processes on SIGTERM.

--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -93,6 +93,10 @@
   // shard_worker.cpp
   void onAuthorityChange(bool Gained, TimePoint Now);
   void refreshEndpoints(TimePoint Now);
+  /// Of one endpoint only: all of them at every answer would make the work
+  /// grow with the square of the endpoints. The others follow at the next tick,
+  /// and a start checks its endpoint again.
+  void refreshEndpoint(const EndpointId &Endpoint, TimePoint Now);
   void sendOwnership(TimePoint Now);
   void sendOwnershipCommand(const cluster::OwnershipCommand &Command,
                             TimePoint Now);
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -22,6 +22,7 @@
   pids=()
 }
 trap 'stopAll; rm -rf "$work"' EXIT
+trap 'exit 143' TERM INT
 
 waitFor() { # FILE
   for _ in $(seq 100); do [ -s "$1" ] && return 0; sleep 0.1; done
@@ -105,7 +106,7 @@
   sleep 2
   sample "idle_$1" "$server" "$seconds"
   # Published on purpose in examples/keys.md.
-  key=tab-bookings-1.$(sed -n 's/.*`tab-bookings-1\.\([0-9a-f]*\)`.*/\1/p' "$root/examples/keys.md")
+  key=tab-pitches-1.$(sed -n 's/.*`tab-pitches-1\.\([0-9a-f]*\)`.*/\1/p' "$root/examples/keys.md")
   submitServices "$caller" "$key" $(($1 * 2))
   sleep 3
   curl -s "http://$caller/v1/status" |
--- a/src/teaselwalk/engine/shard_worker.cpp
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -145,21 +145,24 @@
 }
 
 void ShardWorker::refreshEndpoints(TimePoint Now) {
-  for (const auto &Row : Capacities) {
-    auto Vm = Vms.find(Row.first);
-    if (Vm == Vms.end())
-      continue;
-    schedule::EndpointInfo Info;
-    Info.Id = Row.first;
-    Info.DataCentre = Shard.DataCentre;
-    Info.Rack = Vm->second.Rack;
-    Info.Capacity = Row.second;
-    Info.Leaving = SaysLeaving[Row.first] ||
-                   Vm->second.State == protocol::VmState::Leaving;
-    Info.Usable =
-        Full.count(Row.first) == 0 && Owner.mayStartOn(Row.first, Now);
-    Queue.setEndpoint(Info);
-  }
+  for (const auto &Row : Capacities)
+    refreshEndpoint(Row.first, Now);
+}
+
+void ShardWorker::refreshEndpoint(const EndpointId &Endpoint, TimePoint Now) {
+  auto Capacity = Capacities.find(Endpoint);
+  auto Vm = Vms.find(Endpoint);
+  if (Capacity == Capacities.end() || Vm == Vms.end())
+    return;
+  schedule::EndpointInfo Info;
+  Info.Id = Endpoint;
+  Info.DataCentre = Shard.DataCentre;
+  Info.Rack = Vm->second.Rack;
+  Info.Capacity = Capacity->second;
+  Info.Leaving =
+      SaysLeaving[Endpoint] || Vm->second.State == protocol::VmState::Leaving;
+  Info.Usable = Full.count(Endpoint) == 0 && Owner.mayStartOn(Endpoint, Now);
+  Queue.setEndpoint(Info);
 }
 
 void ShardWorker::sendOwnership(TimePoint Now) {
@@ -230,7 +233,7 @@
   Capacities[Endpoint] = State.Capacity;
   SaysLeaving[Endpoint] = State.Leaving;
   Full.erase(Endpoint);
-  refreshEndpoints(Now);
+  refreshEndpoint(Endpoint, Now);
 
   std::set<TaskId> Listed;
   for (const protocol::RunningTask &Task : State.Tasks) {
