--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -56,6 +56,8 @@
   void tick(TimePoint Now);
 
   bool hasAuthority(TimePoint Now) const { return Owner.hasAuthority(Now); }
+  /// True once a team's allowance was claimed, so that its calls can start.
+  bool hasAllowance() const;
   Resources room() const { return Queue.endpoints().totalRoom(); }
 
   /// Queue a call. If it is refused, \p Call is unchanged.
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -226,7 +226,7 @@
       !Keeper.freshness().allowed(cluster::Permission::StartTask, Now))
     return false;
   for (const auto &Row : Workers)
-    if (Row.second->hasAuthority(Now))
+    if (Row.second->hasAuthority(Now) && Row.second->hasAllowance())
       return true;
   return false;
 }
--- a/src/teaselwalk/engine/shard_worker_limits.cpp
+++ b/src/teaselwalk/engine/shard_worker_limits.cpp
@@ -54,6 +54,14 @@
   applyAllowances(Now);
 }
 
+bool ShardWorker::hasAllowance() const {
+  if (!Allowances)
+    return false;
+  return std::any_of(Teams.begin(), Teams.end(), [this](const auto &Row) {
+    return Allowances->usable(Row.first) != Resources();
+  });
+}
+
 void ShardWorker::addRunning(config::RunningUsage &Sum) const {
   for (const auto &Row : Teams)
     if (const schedule::TeamAccount *Account = Queue.team(Row.first))
--- a/src/teaselwalk/world/callers.cpp
+++ b/src/teaselwalk/world/callers.cpp
@@ -94,11 +94,11 @@
 void World::propose(size_t Process, size_t Base, const config::Document &Next) {
   ProposalReceived Event;
   Event.From = NextToken++;
-  Event.BaseRevision = Documents.at(Base).Revision;
-  Event.DocumentJson = config::serialise(Next);
-  Event.Who = "op";
-  Event.Why = "test";
-  Proposals[Event.From].Text = Event.DocumentJson;
+  const DocumentFact &From = Documents.at(Base);
+  Event.BaseRevision = From.Revision;
+  Event.Next = config::nextHead(Heads.at(Base), {From.Revision, From.Content},
+                                Next, {"op", 0, "test"});
+  Proposals[Event.From].Text = config::serialise(Next);
   give(Process, Event);
 }
 
--- a/src/teaselwalk/world/fuzz_test.cpp
+++ b/src/teaselwalk/world/fuzz_test.cpp
@@ -66,8 +66,7 @@
   auto Result = rc::detail::checkTestable(
       [&](uint16_t WorldSeed) {
         auto Steps = *rc::gen::resize(
-            rc::kNominalSize,
-            rc::gen::container<std::vector<Step>>(anyStep()));
+            rc::kNominalSize, rc::gen::container<std::vector<Step>>(anyStep()));
         CaseResult Case = runCase(WorldSeed, Steps);
         Runs += Case.Runs;
         if (Case.Found.empty())
