engine: end forwarded calls at their deadline

Ruled out: a lost answer message, the peer was killed before it ran the call. Change: at the deadline an open forwarded call is answered 'may have run'. Conclusion: every call has an answer by its deadline.

--- a/include/teaselwalk/engine/commands.hpp
+++ b/include/teaselwalk/engine/commands.hpp
@@ -28,8 +28,10 @@
   void store(protocol::StoreRequest Request, Duration Timeout, OnStore Then);
   void endpoint(const protocol::Address &To, EndpointCommand Message,
                 Duration Timeout, OnEndpoint Then);
-  void forward(const protocol::Address &To, protocol::ForwardedCall Call,
-               OnCallAnswer OnAnswer, OnCallFailure OnFailure);
+  CommandId forward(const protocol::Address &To, protocol::ForwardedCall Call,
+                    OnCallAnswer OnAnswer, OnCallFailure OnFailure);
+  /// Whether a forwarded call has neither been answered nor failed.
+  bool isForwarded(CommandId Id) const { return Forwards.count(Id) != 0; }
   void emit(Action Value) { Pending.push_back(std::move(Value)); }
 
   void onStore(const StoreReplied &Event, TimePoint Now);
--- a/include/teaselwalk/engine/engine.hpp
+++ b/include/teaselwalk/engine/engine.hpp
@@ -66,6 +66,7 @@
   // engine_calls.cpp
   void placeCall(OpenCall Call, TimePoint Now);
   bool forwardCall(OpenCall &Call, TimePoint Now);
+  void endLateForwards(TimePoint Now);
   protocol::Refusal checkAccess(const std::string &Key, const QueueId &Queue,
                                 TimePoint Now, TeamId &Team,
                                 std::string &Message) const;
@@ -104,6 +105,7 @@
   bool Releasing = false;
   TimePoint ReleasedAt; ///< Start of the hand-over.
   size_t Forwarded = 0; ///< Calls of own callers at a peer.
+  std::multimap<TimePoint, CommandId> ForwardEnds;
   uint64_t Refused = 0;
 };
 
--- a/src/teaselwalk/engine/commands.cpp
+++ b/src/teaselwalk/engine/commands.cpp
@@ -35,12 +35,13 @@
   emit(SendToEndpoint{Next++, To, std::move(Message), Timeout});
 }
 
-void Commands::forward(const protocol::Address &To,
-                       protocol::ForwardedCall Call, OnCallAnswer OnAnswer,
-                       OnCallFailure OnFailure) {
+CommandId Commands::forward(const protocol::Address &To,
+                            protocol::ForwardedCall Call,
+                            OnCallAnswer OnAnswer, OnCallFailure OnFailure) {
   Forwards.emplace(Next,
                    ForwardHandlers{std::move(OnAnswer), std::move(OnFailure)});
-  emit(engine::ForwardCall{Next++, To, std::move(Call)});
+  emit(engine::ForwardCall{Next, To, std::move(Call)});
+  return Next++;
 }
 
 void Commands::onStore(const StoreReplied &Event, TimePoint Now) {
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -35,6 +35,7 @@
     NextVmList = Now + Options.VmListInterval;
     Out.emit(FetchVmList{});
   }
+  endLateForwards(Now);
   Members.tick(Now);
   updateWishes(Now);
   updateStarts(Now);
--- a/src/teaselwalk/engine/engine_calls.cpp
+++ b/src/teaselwalk/engine/engine_calls.cpp
@@ -149,7 +149,7 @@
       {{"request", Call.Request.Request.str()}, {"to", Best->Process.str()}}});
   ++Forwarded;
   auto Held = std::make_shared<OpenCall>(std::move(Call));
-  Out.forward(
+  CommandId Id = Out.forward(
       Best->At, std::move(Message),
       [this, Held](const protocol::CallAnswer &Answer, TimePoint) {
         --Forwarded;
@@ -163,9 +163,20 @@
         Answer.Outcome = protocol::verdictWithoutAnswer(State);
         Held->Answer(Answer);
       });
+  ForwardEnds.emplace(Held->DeadlineAt, Id);
   return true;
 }
 
+void Engine::endLateForwards(TimePoint Now) {
+  // The peer answers before the deadline unless it died after taking the call.
+  while (!ForwardEnds.empty() && ForwardEnds.begin()->first <= Now) {
+    CommandId Id = ForwardEnds.begin()->second;
+    ForwardEnds.erase(ForwardEnds.begin());
+    if (Out.isForwarded(Id))
+      Out.onCallFailure({Id, protocol::Delivery::Lost}, Now);
+  }
+}
+
 void Engine::on(const PeerCallAnswered &Event, TimePoint Now) {
   Out.onCallAnswer(Event, Now);
 }
