world: a forwarded call whose peer dies is reported as lost

Cause: the world told the origin nothing, which the peer client never does (it gives up after a timeout), so the check for I6 failed on the world's own fault. Change: PeerCallFailed some time after the deadline of the call.

--- a/include/teaselwalk/world/facts.hpp
+++ b/include/teaselwalk/world/facts.hpp
@@ -16,7 +16,7 @@
   DoubleCapacity, ///< Endpoints report and admit twice what the VM has.
   TwoOwners,      ///< Endpoints ignore epochs and no heartbeat arrives.
   HideDocument,   ///< Reads of the head never show a change.
-  GhostTask,      ///< Endpoints run an unknown task beside each task.
+  GhostTask,      ///< Endpoints run unknown tasks beside each task.
   SwapAnswers,    ///< Callers receive each other's answers.
   LieNotSent,     ///< A start that took effect is reported as not sent.
   RunAgain,       ///< Endpoints run each attempt again at its end.
--- a/src/teaselwalk/world/links.cpp
+++ b/src/teaselwalk/world/links.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Duration ForwardPatience{1000};
+
 template <typename... Kinds> struct Overloaded : Kinds... {
   using Kinds::operator()...;
 };
@@ -107,8 +109,10 @@
   fakes::EndpointModel &Model = *Endpoints.at(Name);
   protocol::RunCommand Extra = Run;
   if (Options.Fault == Sabotage::GhostTask) {
-    Extra.Id.Task = TaskId("ghost/" + Run.Id.Task.str());
-    Model.run(Extra, Time);
+    for (int I = 0; I < 4; ++I) {
+      Extra.Id.Task = TaskId(std::to_string(I) + "/" + Run.Id.Task.str());
+      Model.run(Extra, Time);
+    }
   }
   if (Options.Fault == Sabotage::RunAgain) {
     Extra.Id.Number += 1000;
@@ -260,6 +264,12 @@
                    PeerCallFailed{Step.Command, protocol::Delivery::NotSent});
   PeerCallReceived Call{Processes[Index].At, Step.Command, Step.Forwarded};
   deliver(Peer, Processes[Peer].Incarnation, Call);
+  // The transport gives up some time after the deadline of the call.
+  post(Step.Forwarded.Call.Deadline + ForwardPatience,
+       [this, Index, Incarnation, Command = Step.Command] {
+         deliver(Index, Incarnation,
+                 PeerCallFailed{Command, protocol::Delivery::Lost});
+       });
 }
 
 void World::perform(size_t /*Index*/, const AnswerPeerCall &Step) {
