--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -51,9 +51,10 @@
   RingFull,
   AnswerDropped,
   LogLinesDropped,
+  RecordMalformed,
 };
 
-constexpr std::array<EnumName<EventName>, 45> EventNames = {{
+constexpr std::array<EnumName<EventName>, 46> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -99,6 +100,7 @@
     {EventName::RingFull, "ring_full"},
     {EventName::AnswerDropped, "answer_dropped"},
     {EventName::LogLinesDropped, "log_lines_dropped"},
+    {EventName::RecordMalformed, "record_malformed"},
 }};
 
 } // namespace teaselwalk
--- a/include/teaselwalk/cluster/allowance_ledger.hpp
+++ b/include/teaselwalk/cluster/allowance_ledger.hpp
@@ -100,6 +100,7 @@
     bool MayLand = false; ///< An attempt of `Proposed` had no answer.
     bool ReadNext = true; ///< The next call is a read.
     uint64_t Pending = 0;
+    bool PendingIsRead = false;
     TimePoint SentAt;
     TimePoint NextCall;
   };
@@ -117,6 +118,7 @@
   bool nextCall(Entry &Item, TimePoint Now);
   std::optional<AllowanceRecord> planOwnRow(const Entry &Item) const;
   Duration giftDelay(const Entry &Item) const;
+  void onOutdatedWrite(Entry &Item, const protocol::StoreReply &Reply);
   void accept(Entry &Item, AllowanceRecord Record,
               protocol::StoreVersion Version, TimePoint Now);
   void onWritten(Entry &Item, const protocol::StoreReply &Reply, TimePoint Now);
--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -170,6 +170,7 @@
   void onDoneListed(const protocol::StoreReply &Jobs,
                     const protocol::StoreReply &Done, bool AllKnown,
                     TimePoint Now);
+  std::optional<Job> readJob(const protocol::StoreEntry &Entry);
   void applyDone(const protocol::StoreReply &Done);
   void resumeJob(Job &Value, bool AllKnown, TimePoint Now);
   void stopOrphans();
--- a/src/teaselwalk/cluster/allowance_ledger.cpp
+++ b/src/teaselwalk/cluster/allowance_ledger.cpp
@@ -1,5 +1,7 @@
 #include "teaselwalk/cluster/allowance_ledger.hpp"
 
+#include "teaselwalk/base/error.hpp"
+
 #include <algorithm>
 
 namespace teaselwalk::cluster {
@@ -178,6 +180,7 @@
     if (!nextCall(Item, Now))
       continue;
     Item.Pending = NextId++;
+    Item.PendingIsRead = Item.ReadNext;
     Item.SentAt = Now;
     Calls[Item.Pending] = Team;
     Out.push_back({Item.Pending, Team, requestFor(Team, Item)});
@@ -216,7 +219,12 @@
       Item.ReadNext = false;
       return;
     }
-    accept(Item, decodeAllowance(Reply.Value), Reply.Version, Now);
+    try {
+      accept(Item, decodeAllowance(Reply.Value), Reply.Version, Now);
+    } catch (const InvalidInput &) {
+      // Nothing is usable from a malformed record until it is replaced.
+      Item.NextCall = Now + Options.RetryAfter;
+    }
     return;
   case StoreStatus::Unchanged:
     Item.ReadNext = false;
@@ -240,10 +248,20 @@
   Entry &Item = Teams[Call->second];
   Calls.erase(Call);
   Item.Pending = 0;
-  if (Item.ReadNext || !Item.Proposed)
+  if (Item.PendingIsRead)
     onReadBack(Item, Reply, Now);
-  else
+  else if (Item.Proposed)
     onWritten(Item, Reply, Now);
+  else
+    onOutdatedWrite(Item, Reply);
+}
+
+/// A newer record was seen while the write was under way. If the write is newer
+/// still, its content is read, since it is no longer known here.
+void AllowanceLedger::onOutdatedWrite(Entry &Item, const StoreReply &Reply) {
+  bool MayBeNewer =
+      Reply.Status != StoreStatus::Ok || Reply.Version > Item.Version;
+  Item.ReadNext = Item.ReadNext || MayBeNewer;
 }
 
 } // namespace teaselwalk::cluster
--- a/src/teaselwalk/engine/allowance_watch.cpp
+++ b/src/teaselwalk/engine/allowance_watch.cpp
@@ -56,8 +56,13 @@
               if (Reply.Status != protocol::StoreStatus::Ok)
                 return;
               TeamId Team(Key.substr(std::string(Prefix).size()));
-              Take(Team, cluster::decodeAllowance(Reply.Value), Reply.Version,
-                   Now);
+              try {
+                Take(Team, cluster::decodeAllowance(Reply.Value), Reply.Version,
+                     Now);
+              } catch (const InvalidInput &Failure) {
+                Out.emit(RecordEvent{EventName::RecordMalformed,
+                                     {{"key", Key}, {"why", Failure.what()}}});
+              }
             });
 }
 
--- a/src/teaselwalk/engine/commands.cpp
+++ b/src/teaselwalk/engine/commands.cpp
@@ -36,8 +36,8 @@
 }
 
 CommandId Commands::forward(const protocol::Address &To,
-                            protocol::ForwardedCall Call,
-                            OnCallAnswer OnAnswer, OnCallFailure OnFailure) {
+                            protocol::ForwardedCall Call, OnCallAnswer OnAnswer,
+                            OnCallFailure OnFailure) {
   Forwards.emplace(Next,
                    ForwardHandlers{std::move(OnAnswer), std::move(OnFailure)});
   emit(engine::ForwardCall{Next, To, std::move(Call)});
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -123,7 +123,7 @@
                    Change.Next.Head.Revision == Current.Revision + 1;
   if (!IsCurrent) {
     NextRead = Now;
-    return answer(Change.From, ProposalOutcome::Conflict);
+    return answer(Change.From, ProposalOutcome::Conflict, Current.Revision);
   }
   if (!Change.Next.CopyBefore)
     return writeHead(Change.Next, Change.From);
@@ -134,7 +134,8 @@
                  bool Present = Result.Outcome == WriteOutcome::Applied ||
                                 Result.Outcome == WriteOutcome::Conflict;
                  if (!Present)
-                   return answer(From, ProposalOutcome::StoreUnavailable);
+                   return answer(From, ProposalOutcome::StoreUnavailable,
+                                 Current.Revision);
                  writeHead(Next, From);
                });
 }
@@ -142,22 +143,24 @@
 void DocumentKeeper::writeHead(const config::NextHead &Next, Token From) {
   writeDurably(Out, config::HeadKey, config::serialise(Next.Head), HeadVersion,
                Options.StoreTimeout,
-               [this, From](const WriteResult &Result, TimePoint Now) {
+               [this, From, Revision = Next.Head.Revision](
+                   const WriteResult &Result, TimePoint Now) {
                  static constexpr std::array<ProposalOutcome, 4> Outcomes = {
                      ProposalOutcome::Accepted, ProposalOutcome::Conflict,
                      ProposalOutcome::StoreUnavailable,
                      ProposalOutcome::Unknown};
                  NextRead = Now;
-                 if (Result.Outcome == WriteOutcome::Applied)
-                   Freshness.onPeer(Current.Revision + 1, Duration(0), Now);
-                 answer(From, Outcomes[static_cast<size_t>(Result.Outcome)]);
+                 bool IsApplied = Result.Outcome == WriteOutcome::Applied;
+                 // `Current` may have advanced while the write was under way.
+                 if (IsApplied)
+                   Freshness.onPeer(Revision, Duration(0), Now);
+                 answer(From, Outcomes[static_cast<size_t>(Result.Outcome)],
+                        IsApplied ? Revision : Current.Revision);
                });
 }
 
-void DocumentKeeper::answer(Token To, ProposalOutcome Outcome) {
-  uint64_t Revision = Outcome == ProposalOutcome::Accepted
-                          ? Freshness.newestHeard()
-                          : Current.Revision;
+void DocumentKeeper::answer(Token To, ProposalOutcome Outcome,
+                            uint64_t Revision) {
   Out.emit(AnswerProposal{To, Outcome, Revision});
 }
 
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -328,5 +328,45 @@
   EXPECT_EQ(Named, 12U);
 }
 
+// Guards against an operator who is told a revision that does not exist, since
+// the head was read again before the answer to its write arrived (I11). The
+// process then waits for that revision and starts nothing.
+TEST(EngineTest, ProposalIsAnsweredWithItsRevision) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.LatePercent = 50;
+  for (int I = 0; I < 30; ++I) {
+    config::Document Next = W.document();
+    Next.Teams[0].Share = 2 + I;
+    W.propose(0, W.Documents.size() - 1, Next);
+    W.runFor(Duration(6000));
+    const auto &Answer = W.Proposals.rbegin()->second.Answer;
+    ASSERT_TRUE(Answer.has_value());
+    ASSERT_EQ(Answer->Outcome, ProposalOutcome::Accepted);
+    EXPECT_EQ(Answer->Revision, W.Documents.back().Revision);
+  }
+}
+
+// Guards against a forwarded call that is never answered because the peer died
+// after it had taken it (fuzz seed 20261204).
+TEST(EngineTest, ForwardedCallIsAnsweredThoughThePeerDied) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  size_t Owner = ownerOf(W, 0);
+  if (ownerOf(W, 1) != Owner) {
+    // Both shards move to one process, so that the other must forward.
+    W.killProcess(1 - Owner);
+    ASSERT_TRUE(W.settle());
+    W.startProcess(1 - Owner);
+    W.runFor(Duration(1500));
+  }
+  Token Asked = W.call(1 - Owner, R"({"run_ms":1500})", true);
+  W.runFor(Duration(100));
+  W.killProcess(Owner);
+  W.runFor(Duration(1920));
+  ASSERT_EQ(W.CallAnswers.count(Asked), 1U);
+  EXPECT_EQ(W.CallAnswers[Asked].Outcome, Verdict::MayHaveRun);
+}
+
 } // namespace
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/shard_worker_jobs.cpp
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -376,7 +376,10 @@
     return;
   }
   for (const protocol::StoreEntry &Entry : JobList.Entries) {
-    Job Read = decodeJob(Entry.Value, Entry.Version);
+    std::optional<Job> Decoded = readJob(Entry);
+    if (!Decoded)
+      continue;
+    Job Read = std::move(*Decoded);
     auto Known = Jobs.find(Read.Id);
     if (Known == Jobs.end()) {
       JobId Id = Read.Id;
@@ -402,9 +405,27 @@
   stopOrphans();
 }
 
+/// A malformed record must not stop the work of the whole shard.
+std::optional<Job> ShardWorker::readJob(const protocol::StoreEntry &Entry) {
+  try {
+    return decodeJob(Entry.Value, Entry.Version);
+  } catch (const Error &Failure) {
+    record(EventName::RecordMalformed,
+           {{"key", Entry.Key}, {"why", Failure.what()}});
+    return std::nullopt;
+  }
+}
+
 void ShardWorker::applyDone(const StoreReply &DoneList) {
   for (const protocol::StoreEntry &Entry : DoneList.Entries) {
-    std::vector<DoneTask> Batch = decodeDone(Entry.Value);
+    std::vector<DoneTask> Batch;
+    try {
+      Batch = decodeDone(Entry.Value);
+    } catch (const Error &Failure) {
+      record(EventName::RecordMalformed,
+             {{"key", Entry.Key}, {"why", Failure.what()}});
+      continue;
+    }
     Done.onLoaded(Entry.Key, Entry.Version, Batch);
     for (const DoneTask &Item : Batch) {
       auto Found = Jobs.find(Item.Job);
