engine: a cancelled task that ran before is not reported as "not run"

Change: each task keeps the verdict on its earlier attempts; after a takeover that is "may have run".

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,11 @@
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j $(JOBS)
 
+# `make fuzz SEED=n CASES=k`; the default seed is the one of CI.
+SEED ?= 20261204
+CASES ?= 300
+fuzz: build
+	FUZZ_SEED=$(SEED) FUZZ_CASES=$(CASES) $(BUILD)/src/teaselwalk/world/fuzz --gtest_filter='FuzzTest.*'
+
 clean:
 	rm -rf build build-sanitize
--- a/include/teaselwalk/engine/job.hpp
+++ b/include/teaselwalk/engine/job.hpp
@@ -17,6 +17,8 @@
 struct JobTask {
   protocol::TaskState State = protocol::TaskState::Queued;
   Verdict Outcome = Verdict::NotRun;
+  /// Verdict on the attempts that have ended; part of the final verdict.
+  Verdict Earlier = Verdict::NotRun;
   EndpointId Endpoint;     ///< Of the latest attempt.
   uint32_t Attempt = 0;    ///< Number of the latest attempt, 0 before it.
   uint32_t StartCount = 0; ///< Attempts so far.
--- a/include/teaselwalk/world/world.hpp
+++ b/include/teaselwalk/world/world.hpp
@@ -22,7 +22,6 @@
 
 using engine::Token;
 
-
 struct WorldOptions {
   uint64_t Seed = 1;
   size_t DataCentres = 1; ///< Processes and endpoints take turns in them.
@@ -155,9 +154,10 @@
   void perform(size_t Index, const engine::ForwardCall &Step);
   void perform(size_t Index, const engine::AnswerPeerCall &Step);
   void replyFromEndpoint(size_t Index, uint64_t Incarnation,
-                         const engine::SendToEndpoint &Step, engine::EndpointReply Reply);
+                         const engine::SendToEndpoint &Step,
+                         engine::EndpointReply Reply);
   engine::EndpointReply applyCommand(fakes::EndpointModel &Model,
-                             const engine::EndpointCommand &Message);
+                                     const engine::EndpointCommand &Message);
   void watchCalls(const std::string &Name);
   void tick(size_t Index, uint64_t Incarnation);
   bool isSound(const WorldProcess &Process) const;
@@ -184,7 +184,7 @@
   std::priority_queue<Message> Messages;
   /// Earlier VM lists, oldest first.
   std::vector<std::pair<TimePoint, std::vector<protocol::VmInfo>>> VmLists;
-  protocol::StoreReply FirstHead; ///< For HideDocument.
+  protocol::StoreReply FirstHead;               ///< For HideDocument.
   std::optional<engine::AnswerCall> HeldAnswer; ///< For SwapAnswers.
   config::Snapshot Published;
   config::HeadRecord PublishedHead;
@@ -198,9 +198,9 @@
   std::vector<Waiter> Waiters;
 };
 
-/// A document with data centres `dc`, `dc-1` and so on, team `blue` (key `blue-1.secret`),
-/// team `red` (key `red-1.secret`), queues `calls`, `batch`, `watch` and an
-/// open queue `open`.
+/// A document with data centres `dc`, `dc-1` and so on, team `blue` (key
+/// `blue-1.secret`), team `red` (key `red-1.secret`), queues `calls`, `batch`,
+/// `watch` and an open queue `open`.
 config::Document makeDocument(const WorldOptions &Options);
 
 } // namespace teaselwalk::world
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -347,5 +347,33 @@
   }
 }
 
+// Guards against "not run" for a task that ran, was lost with its endpoint and
+// is cancelled at the next owner while it waits for its second attempt (I7).
+TEST(EngineTest, CancelledTaskThatRanBeforeIsNotReportedAsNotRun) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Sent = W.submit(0, makeSpec(JobKind::Batch, 1, 20000), "job-1");
+  W.runFor(Duration(1500));
+  JobId Job = W.JobAnswers[Sent].Job;
+  ASSERT_EQ(W.runs().size(), 1U);
+  config::Document Next = W.document();
+  Next.DataCentres.push_back(Next.DataCentres[0]);
+  Next.DataCentres[1].Name = DataCentreId("other");
+  Next.DataCentres[0].State = config::DataCentreState::Draining;
+  W.applyDocument(Next);
+  W.runFor(Duration(3000));
+  for (const auto &Row : W.Endpoints)
+    W.crashEndpoint(Row.first);
+  W.runFor(Duration(3000));
+  W.killProcess(ownerOf(W, homeOf(Job)->Number));
+  W.runFor(Duration(30000));
+  size_t Owner = ownerOf(W, homeOf(Job)->Number);
+  ASSERT_LT(Owner, W.Processes.size());
+  Token Asked = W.cancel(Owner, Job);
+  W.runFor(Duration(3000));
+  ASSERT_EQ(W.StatusAnswers[Asked].Status.Tasks.size(), 1U);
+  EXPECT_EQ(statusOf(W, Owner, Job).Tasks[0].Outcome, Verdict::MayHaveRun);
+}
+
 } // namespace
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/shard_worker_jobs.cpp
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -108,6 +108,9 @@
       Value.State = JobState::Running;
       continue;
     }
+    // The former owner may have started it before.
+    if (Value.Recovered)
+      Row.Earlier = Verdict::MayHaveRun;
     if (AllKnown)
       Missing.push_back(Index);
     else
@@ -148,6 +151,8 @@
     return;
   }
   Row.Endpoint = Endpoint;
+  if (Kind != EndKind::NeverStarted)
+    Row.Earlier = Verdict::MayHaveRun;
   bool IsService = Value.Spec.Kind == JobKind::Service;
   bool Cancelled = Value.State == JobState::Cancelled;
   if (Kind == EndKind::Finished && (Ok || Cancelled) && !IsService)
@@ -177,10 +182,10 @@
                              const protocol::Attempt &Id, TimePoint Now) {
   JobTask &Row = Value.Tasks[Index];
   Row.State = Ok ? TaskState::Finished : TaskState::Failed;
-  Row.Outcome = Outcome;
+  Row.Outcome = combine(Row.Earlier, Outcome);
   Row.Result = clipped(Result, Options.MaxResultBytes);
   --Value.Unfinished;
-  Done.add({Value.Id, Index, Ok, Outcome, Row.Endpoint, Row.Result}, Id);
+  Done.add({Value.Id, Index, Ok, Row.Outcome, Row.Endpoint, Row.Result}, Id);
   if (Value.Restarting)
     restartGang(Value, Now);
   checkEnd(Value, Now);
@@ -245,10 +250,10 @@
         sendStop(*Entry, protocol::StopMode::Stop);
       continue;
     }
-    Verdict Outcome =
-        Row.StartCount == 0 ? Verdict::NotRun : Verdict::MayHaveRun;
+    bool NeverStarted = Row.StartCount == 0 && !Value.Recovered;
     Row.State = TaskState::Failed;
-    Row.Outcome = Outcome;
+    Row.Outcome = combine(Row.Earlier,
+                          NeverStarted ? Verdict::NotRun : Verdict::MayHaveRun);
     Row.Result = "cancelled";
     --Value.Unfinished;
   }
--- a/src/teaselwalk/world/fuzz_test.cpp
+++ b/src/teaselwalk/world/fuzz_test.cpp
@@ -80,8 +80,7 @@
   auto Result = rc::detail::checkTestable(
       [&](uint16_t WorldSeed) {
         auto Steps = *rc::gen::resize(
-            rc::kNominalSize,
-            rc::gen::container<std::vector<Step>>(anyStep()));
+            rc::kNominalSize, rc::gen::container<std::vector<Step>>(anyStep()));
         // A budget bounds the time in which a failure is shortened. A case is
         // asked for again at the end, so its verdict is kept.
         std::string Name = nameOfCase(WorldSeed, Steps);
--- a/src/teaselwalk/world/links.cpp
+++ b/src/teaselwalk/world/links.cpp
@@ -20,31 +20,31 @@
 
 void World::perform(size_t Index, Action &Step) {
   uint64_t Incarnation = Processes[Index].Incarnation;
-  std::visit(
-      Overloaded{[&](const AnswerCall &Value) { answer(Value); },
-                 [&](const AnswerJob &Value) {
-                   JobAnswers[Value.To] = Value;
-                   if (!Jobs[Value.To].Answer)
-                     Jobs[Value.To].Answer = Value;
-                 },
-                 [&](const AnswerJobStatus &Value) {
-                   StatusAnswers[Value.To] = Value;
-                 },
-                 [&](const AnswerProposal &Value) {
-                   Proposals[Value.To].Answer = Value;
-                 },
-                 [&](const FetchVmList &) {
-                   VmLists.emplace_back(Time, vmList());
-                   size_t Shown = VmLists.size() - 1;
-                   while (Shown > 0 && VmLists[Shown].first > Time - VmListLag)
-                     --Shown;
-                   deliver(Index, Incarnation,
-                           VmListReceived{VmLists[Shown].second});
-                 },
-                 [&](const AnswerStatus &) {},
-                 [&](const RecordEvent &Value) { record(Index, Value); },
-                 [&](const auto &Message) { perform(Index, Message); }},
-      Step);
+  std::visit(Overloaded{[&](const AnswerCall &Value) { answer(Value); },
+                        [&](const AnswerJob &Value) {
+                          JobAnswers[Value.To] = Value;
+                          if (!Jobs[Value.To].Answer)
+                            Jobs[Value.To].Answer = Value;
+                        },
+                        [&](const AnswerJobStatus &Value) {
+                          StatusAnswers[Value.To] = Value;
+                        },
+                        [&](const AnswerProposal &Value) {
+                          Proposals[Value.To].Answer = Value;
+                        },
+                        [&](const FetchVmList &) {
+                          VmLists.emplace_back(Time, vmList());
+                          size_t Shown = VmLists.size() - 1;
+                          while (Shown > 0 &&
+                                 VmLists[Shown].first > Time - VmListLag)
+                            --Shown;
+                          deliver(Index, Incarnation,
+                                  VmListReceived{VmLists[Shown].second});
+                        },
+                        [&](const AnswerStatus &) {},
+                        [&](const RecordEvent &Value) { record(Index, Value); },
+                        [&](const auto &Message) { perform(Index, Message); }},
+             Step);
 }
 
 void World::perform(size_t Index, const SendToStore &Step) {
@@ -116,9 +116,8 @@
   }
   if (Options.Fault == Sabotage::RunAgain) {
     Extra.Id.Number += 1000;
-    post(Duration(2000), [this, Name, Extra] {
-      Endpoints.at(Name)->run(Extra, Time);
-    });
+    post(Duration(2000),
+         [this, Name, Extra] { Endpoints.at(Name)->run(Extra, Time); });
   }
 }
 
--- a/src/teaselwalk/world/oracle.cpp
+++ b/src/teaselwalk/world/oracle.cpp
@@ -57,14 +57,12 @@
 }
 
 /// The documents in the store at some time from \p From to \p Until.
-std::vector<const config::Document *> documentsIn(const World &W,
-                                                  TimePoint From,
-                                                  TimePoint Until) {
+std::vector<const config::Document *>
+documentsIn(const World &W, TimePoint From, TimePoint Until) {
   std::vector<const config::Document *> List;
   for (size_t I = 0; I < W.Documents.size(); ++I) {
     bool Began = W.Documents[I].At <= Until;
-    bool Ended =
-        I + 1 < W.Documents.size() && W.Documents[I + 1].At < From;
+    bool Ended = I + 1 < W.Documents.size() && W.Documents[I + 1].At < From;
     if (Began && !Ended)
       List.push_back(&W.Documents[I].Content);
   }
@@ -171,9 +169,9 @@
       Allowed = acceptable(E.W, Call->Request.Key, Call->Request.Queue, Team,
                            Call->SentAt, Start);
     for (const JobFact *Job : jobsOf(E.W, Value))
-      Allowed = Allowed || acceptable(E.W, Job->Request.Key,
-                                      Job->Request.Spec.Queue, Team,
-                                      Job->SentAt, Start);
+      Allowed =
+          Allowed || acceptable(E.W, Job->Request.Key, Job->Request.Spec.Queue,
+                                Team, Job->SentAt, Start);
     if (!Allowed)
       E.add(3, "no valid key of " + Team.str() + ": " + describe(Value));
 
@@ -181,12 +179,12 @@
     bool InService = false;
     for (const auto *Document : documentsIn(E.W, Start - CutBound, Start)) {
       const auto *Found = config::findDataCentre(*Document, Centre);
-      InService = InService ||
-                  (Found && Found->State == config::DataCentreState::In);
+      InService =
+          InService || (Found && Found->State == config::DataCentreState::In);
     }
     if (!InService)
-      E.add(5, "started in " + Centre.str() + ", out of service: " +
-                   describe(Value));
+      E.add(5, "started in " + Centre.str() +
+                   ", out of service: " + describe(Value));
 
     auto Leaves = E.W.Leaves.find(Value.Endpoint);
     if (Leaves != E.W.Leaves.end())
@@ -223,8 +221,8 @@
     if (HasResult && Ran.count(Request) == 0)
       E.add(6, "a result without a run: " + Request);
     if (Call.Answer->Outcome == Verdict::NotRun && Ran.count(Request) != 0)
-      E.add(7, "told \"not run\" (" + Call.Answer->Message + ") but ran: " +
-                   Request);
+      E.add(7, "told \"not run\" (" + Call.Answer->Message +
+                   ") but ran: " + Request);
   }
 }
 
@@ -232,8 +230,8 @@
 void checkJobAnswers(Evidence &E) {
   std::set<RequestId> Possible;
   for (const auto &Row : E.W.Jobs)
-    if (!Row.second.Answer || Row.second.Answer->Reason ==
-                                  protocol::Refusal::None ||
+    if (!Row.second.Answer ||
+        Row.second.Answer->Reason == protocol::Refusal::None ||
         Row.second.Answer->Outcome != Verdict::NotRun)
       Possible.insert(Row.second.Request.Request);
   for (const Run &Value : E.Runs)
@@ -280,9 +278,8 @@
     bool Refused = Call.Answer->Reason == protocol::Refusal::UnknownKey;
     if ((AlwaysValid && Refused) ||
         (!EverValid && Call.Answer->Outcome == Verdict::Ran))
-      E.add(11, "another document in force for " +
-                    Call.Request.Request.str() + " of " +
-                    textOf(Call.SentAt));
+      E.add(11, "another document in force for " + Call.Request.Request.str() +
+                    " of " + textOf(Call.SentAt));
   }
   for (const auto &Row : E.W.Proposals) {
     const auto &Answer = Row.second.Answer;
--- a/src/teaselwalk/world/steps.cpp
+++ b/src/teaselwalk/world/steps.cpp
@@ -75,8 +75,7 @@
 void withJob(Course &C, uint32_t A, bool Cancel) {
   if (C.Submitted.empty())
     return;
-  const JobFact &Fact =
-      C.W.Jobs.at(C.Submitted[A % C.Submitted.size()].first);
+  const JobFact &Fact = C.W.Jobs.at(C.Submitted[A % C.Submitted.size()].first);
   if (!Fact.Answer || Fact.Answer->Job.empty())
     return;
   size_t Process = C.process(A / 5);
@@ -174,9 +173,10 @@
   case 0: { // Withdraw a key, or issue it.
     auto &List = Next.Teams[0].Keys;
     KeyId Wanted(A % 2 == 0 ? "blue-1" : "blue-2");
-    auto Found = std::find_if(
-        List.begin(), List.end(),
-        [&](const config::TeamKey &Key) { return Key.Id == Wanted; });
+    auto Found =
+        std::find_if(List.begin(), List.end(), [&](const config::TeamKey &Key) {
+          return Key.Id == Wanted;
+        });
     if (Found != List.end())
       List.erase(Found);
     else
@@ -232,18 +232,30 @@
 };
 
 constexpr KindRow Kinds[] = {
-    {"calls", 12, doCalls},        {"open_call", 3, doOpenCall},
-    {"submit", 8, doSubmit},       {"repeat_submit", 2, doRepeatSubmit},
-    {"cancel", 2, doCancel},       {"query", 2, doQuery},
-    {"pause", 3, doPause},         {"kill", 2, doKill},
-    {"drain", 2, doDrain},         {"cut_store", 2, doCutStore},
-    {"cut_endpoint", 3, doCutEndpoint}, {"cut_peers", 2, doCutPeers},
-    {"heal", 3, doHeal},           {"store_down", 1, doStoreDown},
-    {"lose_answers", 3, doLoseAnswers}, {"noise", 2, doNoise},
-    {"crash", 2, doCrash},         {"leave", 2, doLeave},
-    {"gone", 1, doGone},           {"lag", 1, doLag},
-    {"change", 5, doChange},       {"race", 3, doRace},
-    {"back", 2, doBack},           {"wait", 5, doWait},
+    {"calls", 12, doCalls},
+    {"open_call", 3, doOpenCall},
+    {"submit", 8, doSubmit},
+    {"repeat_submit", 2, doRepeatSubmit},
+    {"cancel", 2, doCancel},
+    {"query", 2, doQuery},
+    {"pause", 3, doPause},
+    {"kill", 2, doKill},
+    {"drain", 2, doDrain},
+    {"cut_store", 2, doCutStore},
+    {"cut_endpoint", 3, doCutEndpoint},
+    {"cut_peers", 2, doCutPeers},
+    {"heal", 3, doHeal},
+    {"store_down", 1, doStoreDown},
+    {"lose_answers", 3, doLoseAnswers},
+    {"noise", 2, doNoise},
+    {"crash", 2, doCrash},
+    {"leave", 2, doLeave},
+    {"gone", 1, doGone},
+    {"lag", 1, doLag},
+    {"change", 5, doChange},
+    {"race", 3, doRace},
+    {"back", 2, doBack},
+    {"wait", 5, doWait},
 };
 
 const KindRow &kindOf(uint32_t Number) {
--- a/src/teaselwalk/world/world.cpp
+++ b/src/teaselwalk/world/world.cpp
@@ -126,9 +126,9 @@
   PublishedHead = config::parseHead(Request.Value);
   config::advance(Published, PublishedHead);
   Documents.push_back({Time, Published.Revision, Published.Content});
-  Timeline.push_back(std::to_string(Time.time_since_epoch().count()) +
-                     " store document_written revision=" +
-                     std::to_string(Published.Revision));
+  Timeline.push_back(
+      std::to_string(Time.time_since_epoch().count()) +
+      " store document_written revision=" + std::to_string(Published.Revision));
 }
 
 Duration World::delay() {
@@ -216,8 +216,8 @@
 
 void World::finishDrain(size_t Index) {
   WorldProcess &Process = Processes[Index];
-  bool Ends = Process.Core->isDrained(Time) ||
-              Options.Fault == Sabotage::KillOnDrain;
+  bool Ends =
+      Process.Core->isDrained(Time) || Options.Fault == Sabotage::KillOnDrain;
   if (!Ends)
     return;
   for (const auto &Row : Calls)
@@ -268,9 +268,8 @@
 void World::give(size_t Index, Event Value) {
   if (!Processes[Index].Paused)
     return giveEvent(Index, std::move(Value));
-  Processes[Index].Held.push_back([this, Index, Value] {
-    giveEvent(Index, Value);
-  });
+  Processes[Index].Held.push_back(
+      [this, Index, Value] { giveEvent(Index, Value); });
 }
 
 void World::tick(size_t Index, uint64_t Incarnation) {
