--- a/include/teaselwalk/world/world.hpp
+++ b/include/teaselwalk/world/world.hpp
@@ -162,7 +162,7 @@
   void tick(size_t Index, uint64_t Incarnation);
   bool isSound(const WorldProcess &Process) const;
   void finishDrain(size_t Index);
-  void give(size_t Index, engine::Event Value);
+  void give(size_t Index, const engine::Event &Value);
   void observeWrite(const protocol::StoreRequest &Request,
                     const protocol::StoreReply &Reply);
   void sabotageRun(const std::string &Name, const protocol::RunCommand &Run);
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -375,5 +375,23 @@
   EXPECT_EQ(statusOf(W, Owner, Job).Tasks[0].Outcome, Verdict::MayHaveRun);
 }
 
+// Guards against a second run of a non-idempotent call whose endpoint
+// restarted: it has forgotten the attempt and answers the stop with "never
+// started" (I8).
+TEST(EngineTest, NonIdempotentCallOnARestartedEndpointRunsOnce) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Asked = W.call(0, R"({"run_ms":800})", false, Duration(3000));
+  W.runFor(Duration(100));
+  auto Before = W.runs();
+  ASSERT_EQ(Before.size(), 1U);
+  for (const auto &Row : W.Endpoints)
+    W.crashEndpoint(Row.first);
+  W.runFor(Duration(5000));
+  for (const auto &Row : W.runs())
+    EXPECT_EQ(Row.second.size(), 1U) << Row.first;
+  EXPECT_EQ(W.CallAnswers[Asked].Outcome, Verdict::MayHaveRun);
+}
+
 } // namespace
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/world/world.cpp
+++ b/src/teaselwalk/world/world.cpp
@@ -265,9 +265,9 @@
 }
 
 /// Hands over an event now, or when the process wakes.
-void World::give(size_t Index, Event Value) {
+void World::give(size_t Index, const Event &Value) {
   if (!Processes[Index].Paused)
-    return giveEvent(Index, std::move(Value));
+    return giveEvent(Index, Value);
   Processes[Index].Held.push_back(
       [this, Index, Value] { giveEvent(Index, Value); });
 }
