protocol, engine, fakes: renewals carry a digest of unchanged tasks

Cause: each renewal named every task and each answer listed every task with its reservation and usage, once a second. Change: while the set of tasks is the one that the endpoint listed last, the renewal carries its digest; a matching endpoint extends the leases and answers 'unchanged' without capacity and tasks. After an attach, a mismatch or 10 s the tasks are named and listed. An endpoint that does not know the field extends nothing and lists its tasks, so every second renewal names them. Usage reports are up to 10 s older.

--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -25,6 +25,9 @@
   Duration HeartbeatInterval{1000};
   Duration StoreTimeout{2000};
   Duration EndpointTimeout{2000}; ///< For attach, renew, stop and start.
+  /// Between two lists of an endpoint's tasks with their usage while the set of
+  /// tasks stays the same. Usage is only needed for reclaiming borrowed room.
+  Duration FullListInterval{10000};
   Duration FlushInterval{1000};   ///< Between batches of ended tasks.
   Duration ReloadInterval{10000}; ///< Between readings of a shard's jobs.
   /// Longest time an ended job stays in memory and in the store.
--- a/include/teaselwalk/engine/shard_worker.hpp
+++ b/include/teaselwalk/engine/shard_worker.hpp
@@ -90,6 +90,14 @@
     Preempted,    ///< Stopped or checkpointed by this process.
   };
 
+  /// What an attach or renewal said about the running tasks.
+  struct SentRenewal {
+    TimePoint At;
+    bool IsRenewal = false; ///< Otherwise an attach, which extends no lease.
+    std::vector<protocol::Attempt> Tasks;
+    std::optional<uint64_t> Digest; ///< In place of the names.
+  };
+
   // shard_worker.cpp
   void onAuthorityChange(bool Gained, TimePoint Now);
   void refreshEndpoints(TimePoint Now);
@@ -100,10 +108,21 @@
   void sendOwnership(TimePoint Now);
   void sendOwnershipCommand(const cluster::OwnershipCommand &Command,
                             TimePoint Now);
+  protocol::RenewCommand makeRenewal(const cluster::OwnershipCommand &Command,
+                                     TimePoint Now) const;
+  /// Notes what an answer says about the running tasks, to choose between names
+  /// and digest in the next renewal.
+  void noteListing(const EndpointId &Endpoint, const SentRenewal &Sent,
+                   const protocol::EndpointState &State, TimePoint Now);
+  /// Enters the running tasks of an answer. Returns their ids.
+  std::set<TaskId> enterTasks(const EndpointId &Endpoint,
+                              const SentRenewal &Sent,
+                              const protocol::EndpointState &State,
+                              TimePoint Now);
   void onOwnershipReply(const cluster::OwnershipCommand &Command,
-                        TimePoint SentAt, const EndpointReply &Reply,
+                        const SentRenewal &Sent, const EndpointReply &Reply,
                         TimePoint Now);
-  void onState(const EndpointId &Endpoint, TimePoint SentAt,
+  void onState(const EndpointId &Endpoint, const SentRenewal &Sent,
                const protocol::EndpointState &State, TimePoint Now);
   void adopt(const EndpointId &Endpoint, const protocol::RunningTask &Task,
              TimePoint Now);
@@ -174,6 +193,14 @@
   std::set<ProcessId> FormerOwners;
   std::map<EndpointId, Resources> Capacities;
   std::map<EndpointId, bool> SaysLeaving;
+  /// Which attempts the endpoint listed last, and when. A renewal that stands
+  /// for the same attempts carries their digest instead of their names.
+  struct Listing {
+    uint64_t Digest = 0;
+    TimePoint At;
+    bool NameTasks = true; ///< The next renewal must name the tasks.
+  };
+  std::map<EndpointId, Listing> Listings;
   /// Endpoints that answered "no room"; closed until their next state.
   std::set<EndpointId> Full;
   /// Results to acknowledge with the next renewal.
--- a/include/teaselwalk/fakes/endpoint_model.hpp
+++ b/include/teaselwalk/fakes/endpoint_model.hpp
@@ -131,6 +131,7 @@
   void start(const protocol::RunCommand &Command, TimePoint Now);
   void end(const Key &Id, TimePoint At, RunEnd Why);
   protocol::EndpointState state(TimePoint Now) const;
+  uint64_t runningDigest() const;
   Resources usageOf(const Task &Value, TimePoint Now) const;
 
   EndpointOptions Options;
--- a/include/teaselwalk/protocol/endpoint.hpp
+++ b/include/teaselwalk/protocol/endpoint.hpp
@@ -61,13 +61,23 @@
 
 /// `POST /renew`: extend the leases of `Tasks`, drop acknowledged results and
 /// report the state.
+///
+/// With `Digest`, `Tasks` is empty and the command stands for exactly the
+/// attempts that the digest was made from: an endpoint that runs these extends
+/// their leases and answers `Unchanged`, any other extends none and answers
+/// with its whole state. An endpoint that does not know the field also extends
+/// none, so the owner names the tasks in the next renewal.
 struct RenewCommand {
   Epoch Owner;
   Duration Lease{0};
   std::vector<Attempt> Tasks;
   std::vector<Attempt> Acknowledged;
+  std::optional<uint64_t> Digest;
 };
 
+/// Of a set of attempts, in any order.
+uint64_t digestOf(std::vector<Attempt> Attempts);
+
 /// How a task is asked to use less.
 enum class StopMode { Checkpoint, Throttle, Stop };
 
@@ -101,9 +111,11 @@
   StopState State = StopState::Stopped;
 };
 
-/// Answer to attach and renew: the whole state of the endpoint.
+/// Answer to attach and renew: the whole state of the endpoint. `Unchanged`
+/// answers a matching digest; capacity and tasks are then left out.
 struct EndpointState {
   Epoch Owner; ///< The epoch that the endpoint holds now.
+  bool Unchanged = false;
   Resources Capacity;
   bool Leaving = false;
   std::vector<RunningTask> Tasks;
--- a/src/teaselwalk/endpoints/answer_json.cpp
+++ b/src/teaselwalk/endpoints/answer_json.cpp
@@ -57,11 +57,17 @@
   return true;
 }
 
+bool isUnchanged(const json &Json) {
+  auto Found = Json.find("unchanged");
+  return Found != Json.end() && Found->is_boolean() && Found->get<bool>();
+}
+
 bool isState(const json &Json) {
-  return hasEpoch(Json) && Json.contains("capacity") &&
-         isAmount(Json["capacity"]) &&
-         isRowArray(Json, "tasks", isRunningRow) &&
-         isRowArray(Json, "finished", hasAttempt);
+  if (!hasEpoch(Json) || !isRowArray(Json, "finished", hasAttempt))
+    return false;
+  return isUnchanged(Json) ||
+         (Json.contains("capacity") && isAmount(Json["capacity"]) &&
+          isRowArray(Json, "tasks", isRunningRow));
 }
 
 bool isObject(const json &Json) { return Json.is_object(); }
--- a/src/teaselwalk/endpoints/endpoint_client_test.cpp
+++ b/src/teaselwalk/endpoints/endpoint_client_test.cpp
@@ -28,6 +28,23 @@
   return Failure && Failure->Outcome == Verdict::MayHaveRun;
 }
 
+// Guards against an answer without a list of tasks that is taken for an
+// endpoint without tasks.
+TEST(EndpointClientTest, OnlyAnUnchangedStateMayLeaveOutTheTasks) {
+  auto Take = [](const std::string &Flag) {
+    return toAnswer(
+        protocol::RenewCommand(),
+        answered(200, R"({"epoch":{"counter":1,"process":"p"},"leaving":false,)"
+                      R"("finished":[])" +
+                          Flag + "}"));
+  };
+  Answer Good = Take(R"(,"unchanged":true)");
+  ASSERT_TRUE(std::holds_alternative<EndpointState>(Good));
+  EXPECT_TRUE(std::get<EndpointState>(Good).Unchanged);
+  for (const char *Flag : {"", R"(,"unchanged":false)", R"(,"unchanged":1)"})
+    EXPECT_TRUE(mayHaveRun(Take(Flag))) << Flag;
+}
+
 // Guards against repeating a task whose answer was damaged on the way.
 TEST(EndpointClientTest, MalformedAnswerToRunMayHaveRun) {
   for (const char *Body : {"", "{", "[]", "{}", R"({"ok":1,"result":"x"})",
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -67,6 +67,53 @@
   W.expectNoOverlap();
 }
 
+// Guards against leases that run out while renewals carry a digest in place of
+// the tasks, with other tasks that come and go on the same endpoints.
+TEST(EngineTest, UnchangedTasksKeepTheirLeases) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.submit(0, makeSpec(JobKind::Service, 12, 0), "service");
+  for (int I = 0; I < 120; ++I) {
+    if (I > 40)
+      W.call(0, R"({"run_ms":900,"result":"x"})", true);
+    W.runFor(Duration(1000));
+  }
+  size_t Services = 0;
+  for (const auto &Row : W.runs()) {
+    if (Row.first.compare(0, 5, "call/") == 0)
+      continue;
+    ++Services;
+    ASSERT_EQ(Row.second.size(), 1U) << Row.first;
+    EXPECT_EQ(Row.second[0].Ended, fakes::RunEnd::Running) << Row.first;
+  }
+  EXPECT_EQ(Services, 12U);
+}
+
+// Guards against a task that an endpoint lost by a restart but that counts as
+// running for ever, because renewals no longer list it.
+TEST(EngineTest, TaskLostInARestartIsNoticed) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Asked = W.submit(0, makeSpec(JobKind::Service, 12, 0), "service");
+  W.runFor(Duration(5000));
+  JobId Job = W.JobAnswers.at(Asked).Job;
+  auto CountRunning = [&] {
+    size_t Running = 0;
+    for (const protocol::TaskStatus &Task : statusOf(W, 0, Job).Tasks)
+      Running += Task.State == protocol::TaskState::Running ? 1 : 0;
+    return Running;
+  };
+  ASSERT_EQ(CountRunning(), 12U);
+  for (auto &Row : W.Endpoints)
+    Row.second->crash(W.now());
+  W.runFor(Duration(2500));
+  size_t AtEndpoints = 0;
+  for (const auto &Row : W.Endpoints)
+    AtEndpoints += static_cast<size_t>(Row.second->inUse().Slots);
+  EXPECT_EQ(CountRunning(), AtEndpoints);
+  W.expectNoOverlap();
+}
+
 // Guards against work accepted without a valid key or for a foreign queue.
 TEST(EngineTest, UnknownKeyIsRefused) {
   World W;
--- a/src/teaselwalk/engine/shard_worker.cpp
+++ b/src/teaselwalk/engine/shard_worker.cpp
@@ -53,6 +53,7 @@
     Queue.removeEndpoint(Row.first);
     Capacities.erase(Row.first);
     SaysLeaving.erase(Row.first);
+    Listings.erase(Row.first);
     Full.erase(Row.first);
     Acks.erase(Row.first);
   }
@@ -184,33 +185,65 @@
 
 void ShardWorker::sendOwnershipCommand(const OwnershipCommand &Command,
                                        TimePoint Now) {
-  EndpointCommand Message;
+  EndpointCommand Message = protocol::AttachCommand{Command.Owner};
+  SentRenewal Sent;
+  Sent.At = Now;
   if (Command.Action == OwnershipAction::Renew) {
-    protocol::RenewCommand Renew;
-    Renew.Owner = Command.Owner;
-    Renew.Lease = Command.Lease;
-    Renew.Tasks = Ledger.on(Command.Endpoint);
-    auto Pending = Acks.find(Command.Endpoint);
-    if (Pending != Acks.end())
-      Renew.Acknowledged = Pending->second;
+    protocol::RenewCommand Renew = makeRenewal(Command, Now);
+    Sent.IsRenewal = true;
+    Sent.Tasks = Ledger.on(Command.Endpoint);
+    Sent.Digest = Renew.Digest;
     Message = std::move(Renew);
-  } else {
-    Message = protocol::AttachCommand{Command.Owner};
   }
-  Out.endpoint(
-      Command.At, std::move(Message), Options.EndpointTimeout,
-      [this, Command, Now](const EndpointReply &Reply, TimePoint Later) {
-        onOwnershipReply(Command, Now, Reply, Later);
-      });
+  Out.endpoint(Command.At, std::move(Message), Options.EndpointTimeout,
+               [this, Command, Sent = std::move(Sent)](
+                   const EndpointReply &Reply, TimePoint Later) {
+                 onOwnershipReply(Command, Sent, Reply, Later);
+               });
+}
+
+protocol::RenewCommand ShardWorker::makeRenewal(const OwnershipCommand &Command,
+                                                TimePoint Now) const {
+  protocol::RenewCommand Renew;
+  Renew.Owner = Command.Owner;
+  Renew.Lease = Command.Lease;
+  auto Pending = Acks.find(Command.Endpoint);
+  if (Pending != Acks.end())
+    Renew.Acknowledged = Pending->second;
+  Renew.Tasks = Ledger.on(Command.Endpoint);
+  auto Last = Listings.find(Command.Endpoint);
+  if (Last == Listings.end() || Last->second.NameTasks ||
+      Now - Last->second.At >= Options.FullListInterval)
+    return Renew;
+  uint64_t Digest = protocol::digestOf(Renew.Tasks);
+  if (Digest == Last->second.Digest) {
+    Renew.Digest = Digest;
+    Renew.Tasks.clear();
+  }
+  return Renew;
+}
+
+void ShardWorker::noteListing(const EndpointId &Endpoint,
+                              const SentRenewal &Sent,
+                              const protocol::EndpointState &State,
+                              TimePoint Now) {
+  if (State.Unchanged)
+    return;
+  std::vector<protocol::Attempt> Running;
+  for (const protocol::RunningTask &Task : State.Tasks)
+    Running.push_back(Task.Id);
+  // After an attach or a digest that did not match, no lease was extended.
+  bool NameTasks = !Sent.IsRenewal || Sent.Digest.has_value();
+  Listings[Endpoint] = {protocol::digestOf(std::move(Running)), Now, NameTasks};
 }
 
 void ShardWorker::onOwnershipReply(const OwnershipCommand &Command,
-                                   TimePoint SentAt, const EndpointReply &Reply,
-                                   TimePoint Now) {
+                                   const SentRenewal &Sent,
+                                   const EndpointReply &Reply, TimePoint Now) {
   if (const auto *State = std::get_if<protocol::EndpointState>(&Reply)) {
     Owner.onState(Command.Id, *State, Now);
     if (Owner.isAttached(Command.Endpoint))
-      onState(Command.Endpoint, SentAt, *State, Now);
+      onState(Command.Endpoint, Sent, *State, Now);
     return;
   }
   if (const auto *Stale = std::get_if<protocol::StaleEpoch>(&Reply)) {
@@ -227,20 +260,42 @@
   Owner.onNoAnswer(Command.Id, How, Now);
 }
 
-void ShardWorker::onState(const EndpointId &Endpoint, TimePoint SentAt,
-                          const protocol::EndpointState &State, TimePoint Now) {
-  Guard.onReached(Endpoint);
-  Capacities[Endpoint] = State.Capacity;
-  SaysLeaving[Endpoint] = State.Leaving;
-  Full.erase(Endpoint);
-  refreshEndpoint(Endpoint, Now);
-
+std::set<TaskId> ShardWorker::enterTasks(const EndpointId &Endpoint,
+                                         const SentRenewal &Sent,
+                                         const protocol::EndpointState &State,
+                                         TimePoint Now) {
   std::set<TaskId> Listed;
   for (const protocol::RunningTask &Task : State.Tasks) {
     Listed.insert(Task.Id.Task);
     adopt(Endpoint, Task, Now);
     Queue.usage(Task.Id.Task, Task.Usage);
   }
+  if (!State.Unchanged)
+    return Listed;
+  for (const protocol::Attempt &Id : Sent.Tasks) {
+    Listed.insert(Id.Task);
+    // An attempt that ended while the answer was on its way is not entered
+    // again.
+    if (!Ledger.find(Id))
+      continue;
+    protocol::RunningTask Task;
+    Task.Id = Id;
+    adopt(Endpoint, Task, Now);
+  }
+  return Listed;
+}
+
+void ShardWorker::onState(const EndpointId &Endpoint, const SentRenewal &Sent,
+                          const protocol::EndpointState &State, TimePoint Now) {
+  Guard.onReached(Endpoint);
+  noteListing(Endpoint, Sent, State, Now);
+  if (!State.Unchanged)
+    Capacities[Endpoint] = State.Capacity;
+  SaysLeaving[Endpoint] = State.Leaving;
+  Full.erase(Endpoint);
+  refreshEndpoint(Endpoint, Now);
+
+  std::set<TaskId> Listed = enterTasks(Endpoint, Sent, State, Now);
   std::set<protocol::Attempt,
            bool (*)(const protocol::Attempt &, const protocol::Attempt &)>
       Reported([](const protocol::Attempt &A, const protocol::Attempt &B) {
@@ -267,7 +322,7 @@
   for (const TaskId &Task : Ledger.tasksOn(Endpoint)) {
     const ActiveTask &Entry = *Ledger.find(Task);
     bool WasRunning =
-        Entry.State == ActiveState::Running && Entry.ConfirmedAt <= SentAt;
+        Entry.State == ActiveState::Running && Entry.ConfirmedAt <= Sent.At;
     if (WasRunning && Listed.count(Task) == 0)
       end(Entry.Id, EndKind::Vanished, false, "ended without a result", Now);
   }
--- a/src/teaselwalk/fakes/endpoint_model.cpp
+++ b/src/teaselwalk/fakes/endpoint_model.cpp
@@ -72,6 +72,10 @@
   advance(Now);
   if (!accept(Command.Owner))
     return StaleEpoch{Held};
+  bool Matches = Command.Digest && *Command.Digest == runningDigest();
+  if (Matches)
+    for (auto &[Id, Value] : Tasks)
+      Value.LeaseEnd = Now + leaseOf(Command.Lease);
   for (const Attempt &Id : Command.Tasks) {
     auto Found = Tasks.find(keyOf(Id));
     if (Found != Tasks.end())
@@ -79,7 +83,21 @@
   }
   for (const Attempt &Id : Command.Acknowledged)
     Retained.erase(keyOf(Id));
-  return state(Now);
+  EndpointState Answer = state(Now);
+  if (Matches) {
+    Answer.Unchanged = true;
+    Answer.Capacity = {};
+    Answer.Tasks.clear();
+  }
+  return Answer;
+}
+
+uint64_t EndpointModel::runningDigest() const {
+  std::vector<Attempt> Running;
+  Running.reserve(Tasks.size());
+  for (const auto &[Id, Value] : Tasks)
+    Running.push_back(Value.Command.Id);
+  return protocol::digestOf(std::move(Running));
 }
 
 StopAnswer EndpointModel::stop(const StopCommand &Command, TimePoint Now) {
--- a/src/teaselwalk/fakes/endpoint_model_test.cpp
+++ b/src/teaselwalk/fakes/endpoint_model_test.cpp
@@ -43,6 +43,28 @@
   EndpointModel Model{EndpointOptions()};
 };
 
+// Guards against leases that are extended for a set of tasks which the owner
+// does not know, and against a digest that depends on the order.
+TEST_F(EndpointModelTest, DigestExtendsExactlyTheTasksItStandsFor) {
+  ASSERT_TRUE(runs<RunStarted>(commandOf("j/0", 0), 0));
+  ASSERT_TRUE(runs<RunStarted>(commandOf("j/1", 0), 0));
+  auto RenewAt = [&](int64_t Ms, std::vector<Attempt> Known) {
+    protocol::RenewCommand Command{First, Duration(30000), {}, {}};
+    Command.Digest = protocol::digestOf(std::move(Known));
+    return std::get<EndpointState>(Model.renew(Command, timeAt(Ms)));
+  };
+  EndpointState Same = RenewAt(20000, {{TaskId("j/1"), 1}, {TaskId("j/0"), 1}});
+  EXPECT_TRUE(Same.Unchanged);
+  EXPECT_TRUE(Same.Tasks.empty());
+  EndpointState Other = RenewAt(40000, {{TaskId("j/0"), 1}});
+  EXPECT_FALSE(Other.Unchanged);
+  EXPECT_EQ(Other.Tasks.size(), 2U);
+  Model.advance(timeAt(49999));
+  EXPECT_EQ(Model.inUse().Slots, 2);
+  Model.advance(timeAt(50000));
+  EXPECT_EQ(Model.inUse().Slots, 0);
+}
+
 // Guards against two owners acting on one endpoint.
 TEST_F(EndpointModelTest, LowerEpochHasNoEffect) {
   ASSERT_TRUE(runs<RunStarted>(commandOf("j/0", 0), 0));
--- a/src/teaselwalk/protocol/endpoint.cpp
+++ b/src/teaselwalk/protocol/endpoint.cpp
@@ -3,6 +3,9 @@
 #include "teaselwalk/base/error.hpp"
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
 
 namespace teaselwalk {
 
@@ -64,6 +67,18 @@
 
 } // namespace
 
+uint64_t digestOf(std::vector<Attempt> Attempts) {
+  std::sort(Attempts.begin(), Attempts.end(),
+            [](const Attempt &A, const Attempt &B) {
+              return A.Task != B.Task ? A.Task < B.Task : A.Number < B.Number;
+            });
+  // Line breaks keep neighbouring fields apart; task ids contain none.
+  std::string Text;
+  for (const Attempt &Id : Attempts)
+    Text += Id.Task.str() + '\n' + std::to_string(Id.Number) + '\n';
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
 void to_json(nlohmann::json &Json, const AttachCommand &Value) {
   Json = {{"epoch", Value.Owner}};
 }
@@ -99,6 +114,8 @@
           {"lease_ms", Value.Lease.count()},
           {"tasks", attemptsJson(Value.Tasks)},
           {"ack", attemptsJson(Value.Acknowledged)}};
+  if (Value.Digest)
+    Json["digest"] = *Value.Digest;
 }
 
 void from_json(const nlohmann::json &Json, RenewCommand &Value) {
@@ -106,6 +123,9 @@
   Value.Lease = durationFrom(Json, "lease_ms");
   Value.Tasks = attemptsFrom(Json.at("tasks"));
   Value.Acknowledged = attemptsFrom(Json.at("ack"));
+  Value.Digest.reset();
+  if (Json.contains("digest"))
+    Value.Digest = Json.at("digest").get<uint64_t>();
 }
 
 void to_json(nlohmann::json &Json, const StopCommand &Value) {
@@ -151,18 +171,27 @@
     Finished.push_back(std::move(Row));
   }
   Json = {{"epoch", Value.Owner},
-          {"capacity", Value.Capacity},
           {"leaving", Value.Leaving},
-          {"tasks", std::move(Tasks)},
           {"finished", std::move(Finished)}};
+  if (Value.Unchanged) {
+    Json["unchanged"] = true;
+    return;
+  }
+  Json["capacity"] = Value.Capacity;
+  Json["tasks"] = std::move(Tasks);
 }
 
 void from_json(const nlohmann::json &Json, EndpointState &Value) {
   Json.at("epoch").get_to(Value.Owner);
-  Json.at("capacity").get_to(Value.Capacity);
   Json.at("leaving").get_to(Value.Leaving);
+  Value.Unchanged = Json.value("unchanged", false);
+  Value.Capacity = {};
   Value.Tasks.clear();
-  for (const nlohmann::json &Row : Json.at("tasks")) {
+  if (!Value.Unchanged)
+    Json.at("capacity").get_to(Value.Capacity);
+  const nlohmann::json Running =
+      Value.Unchanged ? nlohmann::json::array() : Json.at("tasks");
+  for (const nlohmann::json &Row : Running) {
     RunningTask Task;
     Task.Id = attemptFrom(Row);
     Task.Team = TeamId(Row.at("team").get<std::string>());
