engine, protocol: heartbeats ask for an echo only when it is needed

Cause: every heartbeat was answered by a second message, although the echo only serves to confirm the document of a process whose own reads fail. Change: a heartbeat says whether its sender wants an echo, which it does when its document is older than 1.2 s. A message without the field is answered. A process without store keeps a document age below 3 s over 20 s (new test).

--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -23,6 +23,9 @@
   Duration HeadReadInterval{1000}; ///< Between reads of `config/head`.
   Duration VmListInterval{2000};
   Duration HeartbeatInterval{1000};
+  /// A heartbeat asks for an echo when the document is older than this: above
+  /// the age between two reads, and one heartbeat below the limit of 3 s.
+  Duration EchoAge{1200};
   Duration StoreTimeout{2000};
   Duration EndpointTimeout{2000}; ///< For attach, renew, stop and start.
   /// Between two lists of an endpoint's tasks with their usage while the set of
--- a/include/teaselwalk/protocol/peer.hpp
+++ b/include/teaselwalk/protocol/peer.hpp
@@ -48,6 +48,8 @@
   std::vector<uint32_t> Shards; ///< Held by the sender, with authority.
   Resources Free;               ///< Room on all endpoints of these shards.
   std::vector<Attestation> Attestations;
+  bool WantsEcho =
+      true;          ///< The sender needs an answer to confirm its document.
   int64_t Stamp = 0; ///< Sender's steady clock in ms, for the echo.
   /// Set in the answer to a heartbeat: whose it was, and its stamp. Ages count
   /// from that moment on the clock of `EchoOf`, so a delayed answer never makes
--- a/src/teaselwalk/engine/engine.cpp
+++ b/src/teaselwalk/engine/engine.cpp
@@ -61,6 +61,8 @@
   Members.onHeartbeat(Beat, Now);
   if (!Beat.EchoOf.empty())
     return takeEcho(Beat, Now);
+  if (!Beat.WantsEcho)
+    return;
   protocol::Heartbeat Answer = heartbeat(Now);
   Answer.EchoOf = Beat.From;
   Answer.EchoStamp = Beat.Stamp;
@@ -161,7 +163,9 @@
   Beat.At = Options.PeerAddress;
   Beat.Leaving = Draining;
   Beat.Revision = Keeper.revision();
-  Beat.DocumentAge = Keeper.freshness().age(Now).value_or(Duration(-1));
+  auto Age = Keeper.freshness().age(Now);
+  Beat.DocumentAge = Age.value_or(Duration(-1));
+  Beat.WantsEcho = !Age || *Age > Options.EchoAge;
   Beat.Attestations = Keeper.freshness().attestations(Now);
   Beat.Stamp = Now.time_since_epoch().count();
   for (const auto &Row : Workers) {
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -114,6 +114,20 @@
   W.expectNoOverlap();
 }
 
+// Guards against a process that is cut off from the store and asks its peers
+// too rarely, so that its document becomes too old to start tasks.
+TEST(EngineTest, PeersConfirmTheDocumentOfAProcessWithoutStore) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.Processes[1].StoreCut = true;
+  for (int I = 0; I < 200; ++I) {
+    W.runFor(Duration(100));
+    ASSERT_LT(W.Processes[1].Core->heartbeat(W.now()).DocumentAge,
+              Duration(3000))
+        << "after " << I << " steps of 100 ms";
+  }
+}
+
 // Guards against work accepted without a valid key or for a foreign queue.
 TEST(EngineTest, UnknownKeyIsRefused) {
   World W;
--- a/src/teaselwalk/protocol/peer.cpp
+++ b/src/teaselwalk/protocol/peer.cpp
@@ -35,6 +35,7 @@
           {"shards", Value.Shards},
           {"free", Value.Free},
           {"attestations", std::move(Attestations)},
+          {"wants_echo", Value.WantsEcho},
           {"stamp", Value.Stamp},
           {"echo_of", Value.EchoOf.str()},
           {"echo_stamp", Value.EchoStamp}};
@@ -50,6 +51,7 @@
   Value.DocumentAge = durationAt(Json, "document_age_ms");
   Json.at("shards").get_to(Value.Shards);
   Json.at("free").get_to(Value.Free);
+  Value.WantsEcho = Json.value("wants_echo", true);
   Json.at("stamp").get_to(Value.Stamp);
   readId(Json, "echo_of", Value.EchoOf);
   Json.at("echo_stamp").get_to(Value.EchoStamp);
