engine: do not use a task's id after its ledger entry is erased

Cause: ShardWorker::end erased the ledger entry and went on with the id that callers pass by reference from that entry. A task that vanished from an endpoint could therefore be reported under a damaged id and was not started again. Change: end() uses its own copy; the test also requires that the tasks of the service run again within 60 s.

--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -111,6 +111,9 @@
   for (const auto &Row : W.Endpoints)
     AtEndpoints += static_cast<size_t>(Row.second->inUse().Slots);
   EXPECT_EQ(CountRunning(), AtEndpoints);
+  // The tasks of a service start again, whatever rest their endpoints need.
+  EXPECT_TRUE(
+      W.runUntil([&] { return CountRunning() == 12; }, Duration(60000)));
   W.expectNoOverlap();
 }
 
--- a/src/teaselwalk/engine/shard_worker_run.cpp
+++ b/src/teaselwalk/engine/shard_worker_run.cpp
@@ -220,17 +220,18 @@
   ActiveTask *Entry = Ledger.find(Id);
   if (!Entry)
     return;
+  // Callers pass the id inside the ledger entry, which is erased here.
   ActiveTask Ended = *Entry;
-  Ledger.erase(Id.Task);
-  Queue.ended(Id.Task);
+  Ledger.erase(Ended.Id.Task);
+  Queue.ended(Ended.Id.Task);
   if (Kind != EndKind::NeverStarted)
-    record(EventName::TaskFinished, {{"task", Id.Task.str()},
+    record(EventName::TaskFinished, {{"task", Ended.Id.Task.str()},
                                      {"endpoint", Ended.Endpoint.str()},
                                      {"ok", Ok ? "true" : "false"}});
   if (Ended.Place)
-    endJobTask(Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
+    endJobTask(Ended.Id, *Ended.Place, Ended.Endpoint, Kind, Ok, Result, Now);
   else
-    endCall(Id, Ended.Endpoint, Kind, Ok, Result, Now);
+    endCall(Ended.Id, Ended.Endpoint, Kind, Ok, Result, Now);
 }
 
 void ShardWorker::endCall(const protocol::Attempt &Id,
