--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -24,8 +24,14 @@
   Duration HeadReadInterval{1000}; ///< Between reads of `config/head`.
   Duration VmListInterval{2000};
   Duration HeartbeatInterval{1000};
+  /// A heartbeat asks for an echo when the document is older than this: above
+  /// the age between two reads, and one heartbeat below the limit of 3 s.
+  Duration EchoAge{1200};
   Duration StoreTimeout{2000};
   Duration EndpointTimeout{2000}; ///< For attach, renew, stop and start.
+  /// Between two lists of an endpoint's tasks with their usage while the set of
+  /// tasks stays the same. Usage is only needed for reclaiming borrowed room.
+  Duration FullListInterval{10000};
   Duration FlushInterval{1000};   ///< Between batches of ended tasks.
   Duration MoveInterval{100};     ///< Between two looks at the allowances.
   Duration WatchLength{5000};     ///< Longest wait of one watch of the store.
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -68,6 +68,70 @@
   EXPECT_EQ(W.overlaps(), std::vector<std::string>());
 }
 
+// Guards against leases that run out while renewals carry a digest in place of
+// the tasks, with other tasks that come and go on the same endpoints.
+TEST(EngineTest, UnchangedTasksKeepTheirLeases) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.submit(0, makeSpec(JobKind::Service, 12, 0), "service");
+  for (int I = 0; I < 120; ++I) {
+    if (I > 40)
+      W.call(0, R"({"run_ms":900,"result":"x"})", true);
+    W.runFor(Duration(1000));
+  }
+  size_t Services = 0;
+  for (const auto &Row : W.runs()) {
+    if (Row.first.compare(0, 5, "call/") == 0)
+      continue;
+    ++Services;
+    ASSERT_EQ(Row.second.size(), 1U) << Row.first;
+    EXPECT_EQ(Row.second[0].Ended, fakes::RunEnd::Running) << Row.first;
+  }
+  EXPECT_EQ(Services, 12U);
+}
+
+// Guards against a task that an endpoint lost by a restart but that counts as
+// running for ever, because renewals no longer list it.
+TEST(EngineTest, TaskLostInARestartIsNoticed) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  Token Asked = W.submit(0, makeSpec(JobKind::Service, 12, 0), "service");
+  W.runFor(Duration(5000));
+  JobId Job = W.JobAnswers.at(Asked).Job;
+  auto CountRunning = [&] {
+    size_t Running = 0;
+    for (const protocol::TaskStatus &Task : statusOf(W, 0, Job).Tasks)
+      Running += Task.State == protocol::TaskState::Running ? 1 : 0;
+    return Running;
+  };
+  ASSERT_EQ(CountRunning(), 12U);
+  for (auto &Row : W.Endpoints)
+    Row.second->crash(W.now());
+  W.runFor(Duration(2500));
+  size_t AtEndpoints = 0;
+  for (const auto &Row : W.Endpoints)
+    AtEndpoints += static_cast<size_t>(Row.second->inUse().Slots);
+  EXPECT_EQ(CountRunning(), AtEndpoints);
+  // The tasks of a service start again, whatever rest their endpoints need.
+  EXPECT_TRUE(
+      W.runUntil([&] { return CountRunning() == 12; }, Duration(60000)));
+  W.expectNoOverlap();
+}
+
+// Guards against a process that is cut off from the store and asks its peers
+// too rarely, so that its document becomes too old to start tasks.
+TEST(EngineTest, PeersConfirmTheDocumentOfAProcessWithoutStore) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  W.Processes[1].StoreCut = true;
+  for (int I = 0; I < 200; ++I) {
+    W.runFor(Duration(100));
+    ASSERT_LT(W.Processes[1].Core->heartbeat(W.now()).DocumentAge,
+              Duration(3000))
+        << "after " << I << " steps of 100 ms";
+  }
+}
+
 // Guards against work accepted without a valid key or for a foreign queue.
 TEST(EngineTest, UnknownKeyIsRefused) {
   World W;
