engine, tests: clean under the linter; a late whole copy is not adopted

Change: the copy is adopted only if it reaches the revision of the head; the rest are style changes without effect.

--- a/include/teaselwalk/world/world.hpp
+++ b/include/teaselwalk/world/world.hpp
@@ -74,7 +74,7 @@
   void pauseProcess(size_t Index) { Processes[Index].Paused = true; }
   void resumeProcess(size_t Index);
   void drainProcess(size_t Index);
-  void giveEvent(size_t Index, engine::Event Value);
+  void giveEvent(size_t Index, const engine::Event &Value);
 
   Token call(size_t Process, const std::string &Payload, bool Idempotent,
              Duration Deadline = Duration(2000),
--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -6,7 +6,6 @@
 namespace teaselwalk::cli {
 
 extern const Command ServeCommand;
-extern const Command FakeCommand;
 extern const Command BenchCommand;
 extern const Command CheckCommand;
 extern const Command FakeCommand;
--- a/src/teaselwalk/cluster/allowance_test.cpp
+++ b/src/teaselwalk/cluster/allowance_test.cpp
@@ -111,7 +111,7 @@
   Key.Version = 1;
   AllowanceLedger Ledger(shard(0), {1, ProcessId("p")});
   std::vector<AllowanceRequest> Out;
-  auto tick = [&](int64_t Ms) {
+  auto Tick = [&](int64_t Ms) {
     Out.clear();
     Ledger.tick(timeAt(Ms), Out);
     return Out.size();
@@ -119,23 +119,23 @@
   Ledger.noteUse(Team, amount(1), amount(10), timeAt(0));
   EXPECT_EQ(Ledger.usable(Team), Resources()); // Not claimed yet.
   for (int64_t Ms = 0; Ms < 1000; Ms += 100)
-    if (tick(Ms))
+    if (Tick(Ms))
       Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(Ms));
   EXPECT_EQ(Ledger.usable(Team), amount(50));
   Key.Record->Rows[shard(1)].Wanted = amount(20);
   Ledger.onRecord(Team, *Key.Record, ++Key.Version, timeAt(20000));
-  ASSERT_EQ(tick(21100), 1u);
+  ASSERT_EQ(Tick(21100), 1u);
   EXPECT_EQ(Ledger.usable(Team), amount(30));
   StoreRequest Move = Out[0].Request;
   Ledger.onReply(Out[0].Id, StoreReply(), timeAt(21200)); // Lost.
-  ASSERT_EQ(tick(21300), 1u);
+  ASSERT_EQ(Tick(21300), 1u);
   Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21400));
   EXPECT_EQ(Ledger.usable(Team), amount(30));
-  ASSERT_EQ(tick(21500), 1u);
+  ASSERT_EQ(Tick(21500), 1u);
   EXPECT_EQ(Out[0].Request.Value, Move.Value);
   Key.act(Move); // The first attempt arrives late, and the second conflicts.
   Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21600));
-  ASSERT_EQ(tick(21700), 1u);
+  ASSERT_EQ(Tick(21700), 1u);
   Ledger.onReply(Out[0].Id, Key.act(Out[0].Request), timeAt(21800));
   EXPECT_FALSE(Ledger.hasPending(Team));
   EXPECT_EQ(Ledger.usable(Team), amount(30));
--- a/src/teaselwalk/cluster/membership_test.cpp
+++ b/src/teaselwalk/cluster/membership_test.cpp
@@ -85,7 +85,7 @@
 // to one data centre only or always to the same ones.
 TEST(Membership, DigestsGoToThreeOtherDataCentres) {
   Membership Group = membership();
-  auto fleet = [](int PerDataCentre) {
+  auto MakeFleet = [](int PerDataCentre) {
     std::vector<Contact> All{{Home, address(1)}, {Home, address(2)}};
     for (int D = 0; D < 19; ++D)
       for (int I = 0; I < PerDataCentre; ++I)
@@ -95,9 +95,9 @@
               8080}});
     return All;
   };
-  Group.setAddresses(fleet(4), timeAt(0));
+  Group.setAddresses(MakeFleet(4), timeAt(0));
   size_t Small = Group.stateBytes();
-  Group.setAddresses(fleet(100), timeAt(0));
+  Group.setAddresses(MakeFleet(100), timeAt(0));
   EXPECT_LE(Group.stateBytes(), Small + 100);
   EXPECT_EQ(Group.heartbeatTargets(),
             std::vector<protocol::Address>{address(2)});
--- a/src/teaselwalk/cluster/ownership_property_test.cpp
+++ b/src/teaselwalk/cluster/ownership_property_test.cpp
@@ -105,7 +105,7 @@
     Processes[P].Owner->setEndpoints(List, local(P, Real));
   }
 
-  void transmit(Message Item, int64_t Real) {
+  void transmit(const Message &Item, int64_t Real) {
     bool Drop = below(100) < LossPercent ||
                 Cut.count({Item.Process, Item.Endpoint}) != 0;
     if (!Drop) {
@@ -166,7 +166,7 @@
       GaveUp.IsAnswer = GaveUp.Lost = true;
       GaveUp.At = Real + 2000;
       Network.push_back(GaveUp);
-      transmit(std::move(Sent), Real);
+      transmit(Sent, Real);
     }
   }
 
--- a/src/teaselwalk/cluster/ownership_test.cpp
+++ b/src/teaselwalk/cluster/ownership_test.cpp
@@ -11,6 +11,7 @@
 
 std::vector<ShardEndpoint> endpoints(int Count) {
   std::vector<ShardEndpoint> List;
+  List.reserve(static_cast<size_t>(Count));
   for (int I = 0; I < Count; ++I)
     List.push_back({EndpointId("e" + std::to_string(I)),
                     {"10.0.0." + std::to_string(I), 80}});
--- a/src/teaselwalk/cluster/sharding_test.cpp
+++ b/src/teaselwalk/cluster/sharding_test.cpp
@@ -27,6 +27,7 @@
 // Guards against a restart that moves shards between processes that stay.
 TEST(Sharding, OnlyShardsOfTheMissingProcessMove) {
   std::vector<ProcessId> Live;
+  Live.reserve(7);
   for (int I = 0; I < 7; ++I)
     Live.emplace_back("p" + std::to_string(I));
   std::vector<ProcessId> Fewer(Live.begin() + 1, Live.end());
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -80,24 +80,25 @@
   NextRead = Now + Options.HeadReadInterval;
   protocol::StoreRequest Read;
   Read.Key = config::documentKey(Revision);
-  Out.store(
-      std::move(Read), Options.StoreTimeout,
-      [this, Revision](const StoreReply &Reply, TimePoint) {
-        Reading = false;
-        if (Reply.Status != StoreStatus::Ok)
-          return;
-        try {
-          config::Snapshot Copy = config::snapshotOf(Revision, Reply.Value);
-          if (config::advance(Copy, Head) == config::AdvanceState::Advanced)
-            Current = std::move(Copy);
-          else if (Copy.Revision == Head.Revision)
-            Current = std::move(Copy);
-          adopted();
-        } catch (const Error &Failure) {
-          Out.emit(
-              RecordEvent{EventName::DocumentStale, {{"why", Failure.what()}}});
-        }
-      });
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Revision](const StoreReply &Reply, TimePoint) {
+              Reading = false;
+              if (Reply.Status != StoreStatus::Ok)
+                return;
+              try {
+                config::Snapshot Copy =
+                    config::snapshotOf(Revision, Reply.Value);
+                config::advance(Copy, Head);
+                // The head may have moved on while the copy was read.
+                if (Copy.Revision != Head.Revision)
+                  return;
+                Current = std::move(Copy);
+                adopted();
+              } catch (const Error &Failure) {
+                Out.emit(RecordEvent{EventName::DocumentStale,
+                                     {{"why", Failure.what()}}});
+              }
+            });
 }
 
 void DocumentKeeper::adopted() {
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -55,6 +55,7 @@
   World W;
   ASSERT_TRUE(W.settle());
   std::vector<Token> Asked;
+  Asked.reserve(40);
   for (int I = 0; I < 40; ++I)
     Asked.push_back(W.call(
         static_cast<size_t>(I % 2),
@@ -297,6 +298,7 @@
   ASSERT_TRUE(W.settle());
   W.LoseRunAnswers = 10;
   std::vector<Token> Asked;
+  Asked.reserve(10);
   for (int I = 0; I < 10; ++I)
     Asked.push_back(W.call(0, R"({"run_ms":10})", false, Duration(500)));
   W.runFor(Duration(5000));
@@ -323,6 +325,7 @@
   World W;
   ASSERT_TRUE(W.settle());
   std::vector<Token> Asked;
+  Asked.reserve(8);
   for (int I = 0; I < 8; ++I)
     Asked.push_back(W.call(0, R"({"run_ms":800})", false));
   W.runFor(Duration(50));
--- a/src/teaselwalk/entry/process.cpp
+++ b/src/teaselwalk/entry/process.cpp
@@ -145,7 +145,7 @@
   }
 
   void perform(engine::Action &&Step) {
-    std::visit([this](auto &&Value) { on(std::move(Value)); }, std::move(Step));
+    std::visit([this](auto &Value) { on(std::move(Value)); }, Step);
   }
 
   void on(engine::AnswerCall &&Step) { Api.answer(Step.To, Step.Answer); }
--- a/src/teaselwalk/world/world.cpp
+++ b/src/teaselwalk/world/world.cpp
@@ -285,7 +285,7 @@
   post(TickEvery, [this, Index, Incarnation] { tick(Index, Incarnation); });
 }
 
-void World::giveEvent(size_t Index, Event Value) {
+void World::giveEvent(size_t Index, const Event &Value) {
   WorldProcess &Process = Processes[Index];
   if (!Process.Core)
     return;
