cli: command local; heads behind are read at most five times a second

Cause: a newcomer needed five processes for the first request; a process that knew of a newer revision read the head at every tick (about 50 reads a second). Change: entry process and stand-ins in one process with fresh keys; a pause of 200 ms between such reads.

--- a/include/teaselwalk/engine/document_keeper.hpp
+++ b/include/teaselwalk/engine/document_keeper.hpp
@@ -49,6 +49,7 @@
   config::HeadRecord Head; ///< The newest that was read.
   protocol::StoreVersion HeadVersion = 0;
   TimePoint NextRead;
+  TimePoint LastRead;
   bool Reading = false;
 };
 
--- a/include/teaselwalk/engine/options.hpp
+++ b/include/teaselwalk/engine/options.hpp
@@ -20,8 +20,9 @@
   protocol::Address PeerAddress; ///< Of this process's peer server.
   uint64_t Seed = 1;
 
-  Duration TickInterval{20};       ///< Between two `Tick` events at most.
-  Duration HeadReadInterval{1000}; ///< Between reads of `config/head`.
+  Duration TickInterval{20};        ///< Between two `Tick` events at most.
+  Duration HeadReadInterval{1000};  ///< Between reads of `config/head`.
+  Duration BehindReadInterval{200}; ///< After a newer revision was heard of.
   Duration VmListInterval{2000};
   Duration HeartbeatInterval{1000};
   /// A heartbeat asks for an echo when the document is older than this: above
--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -9,6 +9,7 @@
 extern const Command BenchCommand;
 extern const Command CheckCommand;
 extern const Command FakeCommand;
+extern const Command LocalCommand;
 extern const Command ApplyCommand;
 extern const Command SubmitCommand;
 extern const Command StatusCommand;
--- a/src/teaselwalk/engine/document_keeper.cpp
+++ b/src/teaselwalk/engine/document_keeper.cpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/base/error.hpp"
 #include "teaselwalk/engine/durable_write.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselwalk::engine {
@@ -14,13 +15,17 @@
     : Options(Options), Out(Out), Freshness(Options.Freshness) {}
 
 void DocumentKeeper::tick(TimePoint Now) {
-  bool Behind = Freshness.newestHeard() > Current.Revision;
-  if (!Reading && (Now >= NextRead || Behind))
+  // A newer revision that was heard of is read soon, but not at every tick: the
+  // store may be out of reach.
+  bool IsBehind = Freshness.newestHeard() > Current.Revision;
+  TimePoint Due = IsBehind ? LastRead + Options.BehindReadInterval : NextRead;
+  if (!Reading && Now >= std::min(Due, NextRead))
     readHead(Now);
 }
 
 void DocumentKeeper::readHead(TimePoint Now) {
   Reading = true;
+  LastRead = Now;
   NextRead = Now + Options.HeadReadInterval;
   protocol::StoreRequest Read;
   Read.Key = config::HeadKey;
