demo: an operator withdraws a key while the cluster runs

Cause: the demo used a key that had never been in force. Change: the key is in the first document and is withdrawn through the operators' API; the request with it is refused in another data centre.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -109,16 +109,16 @@
 }
 
 write_document() {
-  # The withdrawn key was made as any other and is no longer in the document.
-  secret_row withdrawn >/dev/null
+  # The second key of the first team is withdrawn before the work begins.
   jq -n \
+    --argjson withdrawn "$(secret_row withdrawn)" \
     --argjson taboriste "$(secret_row taboriste-1)" \
     --argjson kadrownia "$(secret_row kadrownia-1)" \
     --argjson operator "$(secret_row operator)" \
     '{cpu_millis: 1000000, memory_mb: 2000000, accelerators: 0, tasks: 400} as $limit
      | {data_centres: [("brno-a", "brno-b", "znojmo")
           | {name: ., region: "cz-south", state: "in", shards: 1, cut_off_service_s: 0}],
-        teams: [{name: "taboriste", share: 2, limit: $limit, keys: [$taboriste]},
+        teams: [{name: "taboriste", share: 2, limit: $limit, keys: [$taboriste, $withdrawn]},
                 {name: "kadrownia", share: 1, limit: $limit, keys: [$kadrownia]}],
         queues: [
           {name: "allocation-calls", access: "keyed", teams: ["taboriste"],
@@ -267,6 +267,19 @@
   waiting=()
 }
 
+# Withdraws a key at one data centre and waits as long as the other data
+# centres may take to follow (3 s).
+withdraw_key() {
+  jq '.teams[0].keys |= map(select(.id != "withdrawn"))' \
+    "$run/document.json" >"$run/without-key.json"
+  "$binary" apply \
+    --server "127.0.0.1:$(jq .operator "$run/brno-a-entry-1.ports")" \
+    --credential-file "$run/operator.key" --who operator \
+    --why "key withdrawn" --confirm taboriste "$run/without-key.json" >"$run/withdraw.log"
+  say "an operator has withdrawn a key: $(tail -n 1 "$run/withdraw.log")"
+  sleep 3
+}
+
 # --- The demo ----------------------------------------------------------------
 
 start_platform
@@ -282,6 +295,7 @@
 done
 say "3 data centres with $endpoints_each endpoints and one entry process each are ready"
 
+withdraw_key
 declare_job allocation-plan gang 6 taboriste-1 plans 2000 1500
 declare_job roster-batch batch 40 kadrownia-1 plans 1000 1200
 declare_job roster-watch service 2 kadrownia-1 watchers 500 0
