--- a/include/teaselwalk/engine/record.hpp
+++ b/include/teaselwalk/engine/record.hpp
@@ -34,6 +34,9 @@
   std::string Result;
 };
 
+/// Enters the end of a task.
+void enter(JobTask &Row, const DoneTask &Ended);
+
 std::string encodeDone(const std::vector<DoneTask> &Batch);
 
 /// Throws `Error` if \p Text is not a batch.
--- a/src/teaselwalk/bench/capacity_world.cpp
+++ b/src/teaselwalk/bench/capacity_world.cpp
@@ -1,6 +1,7 @@
 #include "capacity_world.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/base/overloaded.hpp"
 #include "teaselwalk/config/access.hpp"
 #include "teaselwalk/peers/message.hpp"
 #include "teaselwalk/platform/store_client.hpp"
@@ -29,11 +30,6 @@
 constexpr size_t RpcAnswerBytes = 95;
 const char *const SecretSalt = "00000000000000000000000000000000";
 
-template <typename... Kinds> struct Overloaded : Kinds... {
-  using Kinds::operator()...;
-};
-template <typename... Kinds> Overloaded(Kinds...) -> Overloaded<Kinds...>;
-
 double cpuSeconds() {
   timespec Now{};
   clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Now);
--- a/src/teaselwalk/engine/engine_jobs.cpp
+++ b/src/teaselwalk/engine/engine_jobs.cpp
@@ -142,12 +142,7 @@
     for (const DoneTask &Item : decodeDone(Entry.Value)) {
       if (Item.Job != Value.Id || Item.Index >= Value.Tasks.size())
         continue;
-      JobTask &Row = Value.Tasks[Item.Index];
-      Row.State =
-          Item.Ok ? protocol::TaskState::Finished : protocol::TaskState::Failed;
-      Row.Outcome = Item.Outcome;
-      Row.Endpoint = Item.Endpoint;
-      Row.Result = Item.Result;
+      enter(Value.Tasks[Item.Index], Item);
     }
 }
 
--- a/src/teaselwalk/engine/record.cpp
+++ b/src/teaselwalk/engine/record.cpp
@@ -68,6 +68,14 @@
   });
 }
 
+void enter(JobTask &Row, const DoneTask &Ended) {
+  Row.State =
+      Ended.Ok ? protocol::TaskState::Finished : protocol::TaskState::Failed;
+  Row.Outcome = Ended.Outcome;
+  Row.Endpoint = Ended.Endpoint;
+  Row.Result = Ended.Result;
+}
+
 std::string encodeDone(const std::vector<DoneTask> &Batch) {
   nlohmann::json Rows = nlohmann::json::array();
   for (const DoneTask &Task : Batch)
--- a/src/teaselwalk/engine/shard_worker_jobs.cpp
+++ b/src/teaselwalk/engine/shard_worker_jobs.cpp
@@ -439,10 +439,7 @@
       JobTask &Row = Found->second.Tasks[Item.Index];
       if (hasEnded(Row.State))
         continue;
-      Row.State = Item.Ok ? TaskState::Finished : TaskState::Failed;
-      Row.Outcome = Item.Outcome;
-      Row.Endpoint = Item.Endpoint;
-      Row.Result = Item.Result;
+      enter(Row, Item);
       --Found->second.Unfinished;
     }
   }
--- a/src/teaselwalk/entry/convert.cpp
+++ b/src/teaselwalk/entry/convert.cpp
@@ -1,15 +1,11 @@
 #include "convert.hpp"
 
+#include "teaselwalk/base/overloaded.hpp"
 #include <utility>
 
 namespace teaselwalk::entry {
 namespace {
 
-template <typename... Kinds> struct Overloaded : Kinds... {
-  using Kinds::operator()...;
-};
-template <typename... Kinds> Overloaded(Kinds...) -> Overloaded<Kinds...>;
-
 const char *messageFor(protocol::Refusal Reason) {
   switch (Reason) {
   case protocol::Refusal::UnknownKey:
--- a/src/teaselwalk/world/links.cpp
+++ b/src/teaselwalk/world/links.cpp
@@ -1,3 +1,4 @@
+#include "teaselwalk/base/overloaded.hpp"
 #include "teaselwalk/world/world.hpp"
 
 #include <algorithm>
@@ -11,11 +12,6 @@
 
 constexpr Duration ForwardPatience{1000};
 
-template <typename... Kinds> struct Overloaded : Kinds... {
-  using Kinds::operator()...;
-};
-template <typename... Kinds> Overloaded(Kinds...) -> Overloaded<Kinds...>;
-
 } // namespace
 
 void World::perform(size_t Index, Action &Step) {
