engine: a malformed job record does not stop the process at a status request

Cause: malformed records were skipped where a shard loads its jobs, but status and cancel of a job held elsewhere read the same records without that; the parse error ended the engine's thread. Change: one function reads a recorded job for both and reports a malformed one; it also replaces the read that stood in both.

--- a/include/teaselwalk/engine/engine.hpp
+++ b/include/teaselwalk/engine/engine.hpp
@@ -8,6 +8,7 @@
 #include "teaselwalk/engine/options.hpp"
 #include "teaselwalk/engine/shard_worker.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -78,6 +79,10 @@
   void writeJob(const std::shared_ptr<Acceptance> &Request);
   void refuseJob(Token From, const JobId &Id, protocol::Refusal Reason,
                  Verdict Outcome, std::string Message);
+  /// Reads the record of a job of \p Team from the store.
+  void
+  readRecordedJob(const JobId &Id, const TeamId &Team,
+                  std::function<void(protocol::Refusal, const Job &)> Then);
   void statusFromStore(const JobQuery &Event, const TeamId &Team);
   void cancelInStore(Token From, const JobId &Id, const TeamId &Team);
   ShardWorker *holderOf(const JobId &Id, TimePoint Now);
--- a/src/teaselwalk/engine/engine_jobs.cpp
+++ b/src/teaselwalk/engine/engine_jobs.cpp
@@ -148,43 +148,68 @@
 
 } // namespace
 
+void Engine::readRecordedJob(const JobId &Id, const TeamId &Team,
+                             std::function<void(Refusal, const Job &)> Then) {
+  if (!homeOf(Id))
+    return Then(Refusal::NotFound, {});
+  protocol::StoreRequest Read;
+  Read.Key = jobKey(Id);
+  Out.store(std::move(Read), Options.StoreTimeout,
+            [this, Key = jobKey(Id), Team,
+             Then = std::move(Then)](const StoreReply &Reply, TimePoint) {
+              if (Reply.Status == StoreStatus::NotFound)
+                return Then(Refusal::NotFound, {});
+              if (Reply.Status != StoreStatus::Ok)
+                return Then(Refusal::StoreUnavailable, {});
+              Job Value;
+              try {
+                Value = decodeJob(Reply.Value, Reply.Version);
+              } catch (const Error &Failure) {
+                // A malformed record must not stop the process.
+                Out.emit(RecordEvent{EventName::RecordMalformed,
+                                     {{"key", Key}, {"why", Failure.what()}}});
+                return Then(Refusal::StoreUnavailable, {});
+              }
+              Then(Value.Team == Team ? Refusal::None : Refusal::NotFound,
+                   Value);
+            });
+}
+
 void Engine::statusFromStore(const JobQuery &Event, const TeamId &Team) {
   auto Answer = [this, From = Event.From](Refusal Reason,
                                           protocol::JobStatus Status) {
     Out.emit(AnswerJobStatus{From, Reason, std::move(Status)});
   };
-  auto Home = homeOf(Event.Job);
-  if (!Home)
-    return Answer(Refusal::NotFound, {});
-  protocol::StoreRequest Read;
-  Read.Key = jobKey(Event.Job);
-  Out.store(std::move(Read), Options.StoreTimeout,
-            [this, Answer, Team, Home](const StoreReply &Reply, TimePoint) {
-              if (Reply.Status == StoreStatus::NotFound)
-                return Answer(Refusal::NotFound, {});
-              if (Reply.Status != StoreStatus::Ok)
-                return Answer(Refusal::StoreUnavailable, {});
-              Job Value = decodeJob(Reply.Value, Reply.Version);
-              if (Value.Team != Team)
-                return Answer(Refusal::NotFound, {});
-              protocol::StoreRequest List;
-              List.Operation = protocol::StoreOperation::List;
-              List.Key = donePrefix(*Home);
-              Out.store(std::move(List), Options.StoreTimeout,
-                        [Answer, Value](const StoreReply &Batches, TimePoint) {
-                          if (Batches.Status != StoreStatus::Ok)
-                            return Answer(Refusal::StoreUnavailable, {});
-                          Job Recorded = Value;
-                          for (JobTask &Row : Recorded.Tasks)
-                            Row.State = protocol::TaskState::Unknown;
-                          applyBatches(Recorded, Batches.Entries);
-                          protocol::JobStatus Status = statusOf(Recorded);
-                          Status.Reason =
-                              "as recorded; the owner of the shard is "
-                              "another process";
-                          Answer(Refusal::None, std::move(Status));
+  auto Finish = [this, Answer](Job Recorded, const StoreReply &Batches) {
+    if (Batches.Status != StoreStatus::Ok)
+      return Answer(Refusal::StoreUnavailable, {});
+    for (JobTask &Row : Recorded.Tasks)
+      Row.State = protocol::TaskState::Unknown;
+    try {
+      applyBatches(Recorded, Batches.Entries);
+    } catch (const Error &Failure) {
+      Out.emit(
+          RecordEvent{EventName::RecordMalformed,
+                      {{"job", Recorded.Id.str()}, {"why", Failure.what()}}});
+      return Answer(Refusal::StoreUnavailable, {});
+    }
+    protocol::JobStatus Status = statusOf(Recorded);
+    Status.Reason = "as recorded; the owner of the shard is another process";
+    Answer(Refusal::None, std::move(Status));
+  };
+  readRecordedJob(Event.Job, Team,
+                  [this, Answer, Finish](Refusal Reason, const Job &Value) {
+                    if (Reason != Refusal::None)
+                      return Answer(Reason, {});
+                    protocol::StoreRequest List;
+                    List.Operation = protocol::StoreOperation::List;
+                    List.Key = Batches;
+                    Out.store(
+                        std::move(List), Options.StoreTimeout,
+                        [Finish, Value](const StoreReply &Batches, TimePoint) {
+                          Finish(Value, Batches);
                         });
-            });
+                  });
 }
 
 void Engine::on(const JobCancel &Event, TimePoint Now) {
@@ -215,29 +240,22 @@
   auto Answer = [this, From](Refusal Reason, protocol::JobStatus Status) {
     Out.emit(AnswerJobStatus{From, Reason, std::move(Status)});
   };
-  protocol::StoreRequest Read;
-  Read.Key = jobKey(Id);
-  Out.store(std::move(Read), Options.StoreTimeout,
-            [this, Answer, Team](const StoreReply &Reply, TimePoint) {
-              if (Reply.Status == StoreStatus::NotFound)
-                return Answer(Refusal::NotFound, {});
-              if (Reply.Status != StoreStatus::Ok)
-                return Answer(Refusal::StoreUnavailable, {});
-              Job Value = decodeJob(Reply.Value, Reply.Version);
-              if (Value.Team != Team)
-                return Answer(Refusal::NotFound, {});
-              if (isEnded(Value.State))
-                return Answer(Refusal::None, statusOf(Value));
-              Value.State = protocol::JobState::Cancelled;
-              writeDurably(
-                  Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
-                  Options.StoreTimeout,
-                  [Answer, Value](const WriteResult &Result, TimePoint) {
-                    if (Result.Outcome != WriteOutcome::Applied)
-                      return Answer(Refusal::StoreUnavailable, {});
-                    Answer(Refusal::None, statusOf(Value));
-                  });
-            });
+  readRecordedJob(
+      Id, Team, [this, Answer](Refusal Reason, const Job &Recorded) {
+        if (Reason != Refusal::None)
+          return Answer(Reason, {});
+        if (isEnded(Recorded.State))
+          return Answer(Refusal::None, statusOf(Recorded));
+        Job Value = Recorded;
+        Value.State = protocol::JobState::Cancelled;
+        writeDurably(Out, jobKey(Value.Id), encodeJob(Value), Value.Version,
+                     Options.StoreTimeout,
+                     [Answer, Value](const WriteResult &Result, TimePoint) {
+                       if (Result.Outcome != WriteOutcome::Applied)
+                         return Answer(Refusal::StoreUnavailable, {});
+                       Answer(Refusal::None, statusOf(Value));
+                     });
+      });
 }
 
 } // namespace teaselwalk::engine
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -1,3 +1,4 @@
+#include "teaselwalk/engine/record.hpp"
 #include "teaselwalk/world/world.hpp"
 
 #include <gtest/gtest.h>
@@ -484,5 +485,23 @@
   EXPECT_EQ(W.CallAnswers[Asked].Outcome, Verdict::MayHaveRun);
 }
 
+// Guards against a malformed record in the store that ends the whole process
+// when its status is asked for.
+TEST(EngineTest, MalformedRecordIsNotFatalForStatusAndCancel) {
+  World W;
+  ASSERT_TRUE(W.settle());
+  JobId Broken("dc.0.0123456789abcdef0123456789abcdef");
+  protocol::StoreRequest Write;
+  Write.Operation = protocol::StoreOperation::Write;
+  Write.Key = jobKey(Broken);
+  Write.Value = "{";
+  ASSERT_EQ(W.Store.apply(Write, W.now()).Status, protocol::StoreStatus::Ok);
+  Token Asked = W.query(0, Broken);
+  Token Cancelled = W.cancel(0, Broken);
+  ASSERT_NO_THROW(W.runFor(Duration(1000)));
+  EXPECT_EQ(W.StatusAnswers.at(Asked).Reason, Refusal::StoreUnavailable);
+  EXPECT_EQ(W.StatusAnswers.at(Cancelled).Reason, Refusal::StoreUnavailable);
+}
+
 } // namespace
 } // namespace teaselwalk::engine
