--- a/src/teaselwalk/engine/engine_jobs.cpp
+++ b/src/teaselwalk/engine/engine_jobs.cpp
@@ -197,19 +197,24 @@
     Status.Reason = "as recorded; the owner of the shard is another process";
     Answer(Refusal::None, std::move(Status));
   };
-  readRecordedJob(Event.Job, Team,
-                  [this, Answer, Finish](Refusal Reason, const Job &Value) {
-                    if (Reason != Refusal::None)
-                      return Answer(Reason, {});
-                    protocol::StoreRequest List;
-                    List.Operation = protocol::StoreOperation::List;
-                    List.Key = Batches;
-                    Out.store(
-                        std::move(List), Options.StoreTimeout,
-                        [Finish, Value](const StoreReply &Batches, TimePoint) {
-                          Finish(Value, Batches);
-                        });
+  // From the id that was asked for: that of the record may be anything.
+  auto Home = homeOf(Event.Job);
+  if (!Home)
+    return Answer(Refusal::NotFound, {});
+  readRecordedJob(
+      Event.Job, Team,
+      [this, Answer, Finish, Prefix = donePrefix(*Home)](Refusal Reason,
+                                                         const Job &Value) {
+        if (Reason != Refusal::None)
+          return Answer(Reason, {});
+        protocol::StoreRequest List;
+        List.Operation = protocol::StoreOperation::List;
+        List.Key = Prefix;
+        Out.store(std::move(List), Options.StoreTimeout,
+                  [Finish, Value](const StoreReply &Batches, TimePoint) {
+                    Finish(Value, Batches);
                   });
+      });
 }
 
 void Engine::on(const JobCancel &Event, TimePoint Now) {
