--- /dev/null
+++ b/include/teaselwalk/cell/cell.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "teaselwalk/cell/front.hpp"
+#include "teaselwalk/cell/leadership.hpp"
+#include "teaselwalk/cell/owner.hpp"
+#include "teaselwalk/cell/presence.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace teaselwalk::cell {
+
+/// Calls to another process of the system.
+class PeerCalls {
+public:
+  virtual ~PeerCalls() = default;
+  virtual void job(const protocol::Address &To, const JobId &Id,
+                   std::function<void(JobAnswer)> Done) = 0;
+  virtual void pending(const protocol::Address &To, const std::string &Queue,
+                       std::function<void(PendingAnswer)> Done) = 0;
+};
+
+/// Everything outside that the decisions of a process need.
+struct Surroundings {
+  Executor &Clock;
+  Store &Source;
+  Endpoints &Workers;
+  Advisor &Service;
+  PeerCalls &Peers;
+  Recorder &Log;
+};
+
+struct CellOptions {
+  std::string Process; ///< New for every start of the process.
+  std::string Name;    ///< Of the VM.
+  protocol::Address PeerAddress;
+  Duration ClaimDelay{0}; ///< Spreads the competition for the ownership.
+  Duration KeyRevocation{5000};
+  OwnerOptions Owner;
+  std::string InstructionPrefix; ///< Of the operators' items in the store.
+  /// Puts an item into the instructions; throws `Error` if it cannot be read.
+  std::function<void(const StoreItem &, Instructions &)> ApplyInstruction;
+  std::function<JobSpec(const std::string &Body)> DecodeSubmission;
+};
+
+/// All decisions of one process: front, leadership and, on one process, owner.
+/// Single-threaded.
+class Cell : private OwnerQueries {
+public:
+  Cell(const Surroundings &Around, CellOptions Options);
+
+  void start();
+
+  void handle(const CallerRequest &Request, const Reply &Answer) {
+    Requests.handle(Request, Answer);
+  }
+
+  /// Ready to serve callers.
+  bool isReady() const { return !Stopping && Requests.isReady(); }
+  bool isOwner() const { return Jobs != nullptr; }
+
+  /// Hands the ownership over and takes the process out of use. Requests are
+  /// still answered.
+  void stop();
+
+  /// Questions of other processes. `IsAnswered` is false if this process is
+  /// not the owner.
+  JobAnswer jobHere(const JobId &Id) const;
+  PendingAnswer pendingHere(const std::string &Queue) const;
+
+private:
+  void job(const JobId &Id, std::function<void(JobAnswer)> Done) override;
+  void pending(const std::string &Queue,
+               std::function<void(PendingAnswer)> Done) override;
+  void onInstruction(const StoreItem &Item);
+  void onProcess(const StoreItem &Item);
+  void updateLanes();
+  void gained(const GuardRecord &Held, int64_t Revision);
+
+  Surroundings Around;
+  CellOptions Options;
+  Instructions Current;
+  Follower Operators;
+  Presence Self;
+  std::unique_ptr<Follower> Processes; ///< Only on the owner.
+  std::map<std::string, protocol::Address> Peers;
+  Leadership Election;
+  Front Requests;
+  std::unique_ptr<Owner> Jobs;
+  bool Stopping = false;
+};
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/job.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "teaselwalk/base/id.hpp"
+#include "teaselwalk/base/resources.hpp"
+#include "teaselwalk/base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+/// Scheduling of jobs of several steps on endpoints that check fencing tokens
+/// and run tasks under leases. Every lasting fact is in an outside store.
+namespace teaselwalk::cell {
+
+/// A task of a job. Occurrence is 0 for a job without repetitions.
+struct TaskKey {
+  JobId Job;
+  int32_t Occurrence = 0;
+  int32_t Step = 0;
+  int32_t Index = 0;
+
+  friend bool operator==(const TaskKey &A, const TaskKey &B) {
+    return A.Job == B.Job && A.Occurrence == B.Occurrence && A.Step == B.Step &&
+           A.Index == B.Index;
+  }
+  friend bool operator<(const TaskKey &A, const TaskKey &B) {
+    return std::tie(A.Job, A.Occurrence, A.Step, A.Index) <
+           std::tie(B.Job, B.Occurrence, B.Step, B.Index);
+  }
+};
+
+/// A set of equal tasks. All steps in `After` end before the step starts.
+struct StepSpec {
+  int32_t Tasks = 1;
+  Resources Need;             ///< Of each task.
+  Duration Estimate{0};       ///< Declared run time; may be far off.
+  std::vector<int32_t> After; ///< Indices of earlier steps.
+  std::string RequiredLabel;  ///< Empty: any endpoint.
+  std::string DataRack;       ///< Rack that holds the data; empty: none.
+  std::string Image;          ///< Tasks of one image behave alike.
+  int32_t MaxPerEndpoint = 0; ///< Anti-affinity; 0: no limit.
+  int32_t MaxUnavailable = 0; ///< For services; 0: not limited.
+  Duration TailTarget{0};     ///< Limit of the response time tail; 0: none.
+  bool Checkpoints = false;   ///< Progress is saved and can be resumed.
+  bool Gang = false;          ///< All tasks run together or not at all.
+  bool OneRack = false;       ///< Slower when spread over racks.
+  bool Speculative = false;   ///< Copies may run side by side.
+  bool Service = false;       ///< Runs until the job is cancelled.
+  bool Opportunistic = false; ///< Uses processors that others leave unused.
+};
+
+/// The limits that a queue puts on its jobs.
+struct QueuePolicy {
+  std::string Service;  ///< Name of the pool of endpoints.
+  int32_t Priority = 0; ///< 0 is the most urgent.
+  int32_t MaxAttempts = 1;
+  double SlackFactor = 1; ///< Objective as a multiple of the longest chain.
+  Duration Target{0};     ///< Added to the objective.
+  bool NeedsAdvice = false;
+  Duration AdviceBase{0};         ///< Time of one call for advice.
+  double AdvicePerEndpointMs = 0; ///< Added for each endpoint that is named.
+  Duration TicketValidity{0};
+};
+
+/// A job as a caller submitted it. Immutable once stored.
+struct JobSpec {
+  JobId Id;
+  std::string Queue;
+  std::string Team; ///< Empty for a caller without a key at an open queue.
+  std::string Payload;
+  std::vector<StepSpec> Steps;
+  int32_t Repetitions = 0;  ///< 0: runs once, at once.
+  int64_t FirstStartMs = 0; ///< Wall clock, ms since 1970-01-01 UTC.
+  int64_t IntervalMs = 0;
+  int64_t AcceptedMs = 0; ///< Wall clock of the accepting process.
+  QueuePolicy Policy;     ///< As configured when the job was accepted.
+
+  int32_t occurrences() const { return Repetitions > 0 ? Repetitions : 1; }
+};
+
+enum class JobStatus { Queued, Running, Completed, Failed, Cancelled };
+
+/// Checks \p Job and throws `InvalidInput` with every mistake found.
+void validate(const JobSpec &Job);
+
+/// The longest chain of estimated run times over the steps.
+Duration longestChain(const JobSpec &Job);
+
+/// Encodes \p Job for the store.
+std::string encodeJob(const JobSpec &Job);
+
+/// Reads what `encodeJob` wrote. Throws `Error` for anything else.
+JobSpec decodeJob(const JobId &Id, const std::string &Text);
+
+} // namespace teaselwalk::cell
+
+namespace std {
+template <> struct hash<teaselwalk::cell::TaskKey> {
+  size_t operator()(const teaselwalk::cell::TaskKey &Key) const {
+    size_t Mixed = static_cast<size_t>(Key.Occurrence) * 1000003U +
+                   static_cast<size_t>(Key.Step) * 8191U +
+                   static_cast<size_t>(Key.Index);
+    return hash<string>()(Key.Job.str()) ^ (Mixed * 0x9E3779B97F4A7C15ULL);
+  }
+};
+} // namespace std
--- /dev/null
+++ b/include/teaselwalk/cell/job_state.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cell/job.hpp"
+#include "teaselwalk/cell/ports.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace teaselwalk::cell {
+
+enum class TaskPhase : uint8_t {
+  Waiting,
+  Assigned, ///< The endpoint is chosen; the run may start or have started.
+  Running,  ///< An endpoint has listed the run or accepted the order.
+  Done,
+};
+
+/// Progress of one task, as far as this owner knows.
+struct TaskState {
+  TaskPhase Phase = TaskPhase::Waiting;
+  bool IsOrdered = false;  ///< This owner has sent the start order.
+  bool IsStopping = false; ///< A stop was ordered.
+  int32_t Failures = 0;    ///< Runs that ended by a failure.
+  int64_t Attempt = 0;     ///< Number of the latest run; 0: none.
+  EndpointId Where;        ///< Of the latest run.
+  std::string Checkpoint;  ///< Latest known; empty: none.
+  int64_t StoredWith = 0;  ///< Version of the record with the assignment.
+  int64_t OrderToken = 0;  ///< Fencing token of the start order.
+  TimePoint AssignedAt;
+  TimePoint AnsweredAt; ///< When the start order was answered.
+  TimePoint StopSentAt;
+  TimePoint NotBefore; ///< No new run earlier; delays after failures.
+  int32_t Pace = 100;  ///< Ordered share of its processors, percent.
+  int32_t Percent = 0; ///< Progress, as listed.
+  int64_t Figure = 0;  ///< As in `RunRow`.
+};
+
+/// Progress of one step of one occurrence.
+struct StepState {
+  std::vector<TaskState> Tasks;
+  int32_t Done = 0;
+  int32_t Waiting = 0;
+  /// Attempt of a gang that a failure was counted for.
+  int64_t FailedAttempt = 0;
+};
+
+struct OccurrenceState {
+  bool IsDue = false;
+  int32_t StepsDone = 0;
+  std::vector<StepState> Steps;
+};
+
+/// A job and its progress. Methods keep the counters; they decide nothing.
+class JobState {
+public:
+  explicit JobState(JobSpec Given);
+
+  const JobSpec Spec;
+  JobStatus Status = JobStatus::Queued;
+  /// Status that the store holds; callers are told this one.
+  JobStatus StoredStatus = JobStatus::Queued;
+  int64_t EndedMs = 0;    ///< Wall clock; 0: has not ended.
+  bool IsStarted = false; ///< A task was assigned at least once.
+  int64_t Version = 0;    ///< Rises with each change that must be stored.
+  int64_t StoredVersion = 0;
+  TimePoint Objective; ///< Latest completion that is on time.
+  std::vector<OccurrenceState> Occurrences;
+
+  bool isEnded() const { return EndedMs != 0; }
+  TaskState *find(const TaskKey &Key);
+  const StepSpec &stepOf(const TaskKey &Key) const {
+    return Spec.Steps[static_cast<size_t>(Key.Step)];
+  }
+  StepState &stateOf(const TaskKey &Key);
+
+  /// True if every step in `After` of \p Step has ended.
+  bool isReady(const OccurrenceState &Occurrence, size_t Step) const;
+  bool allDone() const;
+
+  void assign(StepState &Step, TaskState &Task, const EndpointId &Where,
+              int64_t Attempt);
+  void release(StepState &Step, TaskState &Task);
+  void complete(OccurrenceState &Occurrence, size_t Step, TaskState &Task);
+
+  /// The record for the store.
+  std::string encode() const;
+  /// Takes over what `encode` wrote. Throws `Error` for anything else.
+  void restore(const std::string &Text);
+
+private:
+  void recount(OccurrenceState &Occurrence);
+};
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/leadership.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "teaselwalk/cell/follower.hpp"
+#include "teaselwalk/cell/journal.hpp"
+#include "teaselwalk/cell/ports.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace teaselwalk::cell {
+
+/// The owner as every process sees it.
+struct OwnerRecord {
+  std::string Process;
+  protocol::Address Address; ///< Of its interface for other processes.
+  int64_t Epoch = 0;
+
+  std::string encode() const;
+  static OwnerRecord decode(const std::string &Text);
+};
+
+/// Chooses the one process that owns the jobs and endpoints. The owner's
+/// presence key has a lease; when it is gone, the processes compete for it
+/// with a conditional write that also raises the epoch in the guard.
+class Leadership {
+public:
+  struct Hooks {
+    /// This process owns the jobs from now on.
+    std::function<void(GuardRecord, int64_t Revision)> Gained;
+    std::function<void(const char *Reason)> Lost;
+    /// False: this process leaves the ownership to others.
+    std::function<bool()> MayOwn;
+  };
+
+  Leadership(Executor &Clock, Store &Source, Recorder &Log, std::string Process,
+             protocol::Address Address, Duration FirstDelay, Hooks Calls);
+
+  void start();
+
+  bool isOwner() const { return Lease != 0 && Owns; }
+
+  /// The owner that the store shows; nothing if there is none.
+  const std::optional<OwnerRecord> &owner() const { return Seen; }
+
+  /// When the store last confirmed that this process is the owner.
+  TimePoint confirmedAt() const { return ConfirmedAt; }
+
+  /// Another process holds the guard: gives the ownership up.
+  void depose(const char *Reason);
+
+  /// Ends the ownership at once, so that another process takes over.
+  void release();
+
+private:
+  void onItem(const StoreItem &Item);
+  void scheduleClaim(Duration Delay);
+  void claim();
+  void claimWithLease(int64_t NewLease);
+  void commitClaim(int64_t NewLease, const StoreItems &Guard);
+  void onClaimed(int64_t NewLease, GuardRecord Record,
+                 const CommitResult &Result);
+  void resolveClaim(int64_t NewLease, GuardRecord Record, int Attempt);
+  void gain(int64_t NewLease, const GuardRecord &Record, int64_t Revision);
+  void giveUpClaim(int64_t NewLease);
+  void renew();
+
+  template <typename Call> auto guarded(Call Body) {
+    return [Body = std::move(Body),
+            Token = std::weak_ptr<char>(Alive)](auto &&...Values) mutable {
+      if (!Token.expired())
+        Body(std::forward<decltype(Values)>(Values)...);
+    };
+  }
+
+  Executor &Clock;
+  Store &Source;
+  Recorder &Log;
+  const std::string Process;
+  const protocol::Address Address;
+  const Duration ClaimDelay;
+  Hooks Calls;
+  Follower Presence;
+  std::optional<OwnerRecord> Seen;
+  bool Owns = false;
+  bool Released = false;
+  bool Claiming = false;
+  bool ClaimScheduled = false;
+  bool IsSynced = false;
+  int64_t Lease = 0;
+  TimePoint ConfirmedAt;
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/owner.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+#include "teaselwalk/cell/advice_desk.hpp"
+#include "teaselwalk/cell/configuration.hpp"
+#include "teaselwalk/cell/endpoint_table.hpp"
+#include "teaselwalk/cell/follower.hpp"
+#include "teaselwalk/cell/job_state.hpp"
+#include "teaselwalk/cell/journal.hpp"
+#include "teaselwalk/cell/ports.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace teaselwalk::cell {
+
+struct OwnerOptions {
+  Duration MaxTaskLease{6000}; ///< Longest lease an endpoint grants.
+  Duration StatusKept{120000}; ///< Records of ended jobs stay this long.
+  Duration TailExcess{4000};   ///< A tail may be over its target this long.
+  Duration StartEarly{250};    ///< Allowed start before the due time.
+  std::string EndpointPrefix;  ///< Of the discovery list in the store.
+  /// Reads an entry of the discovery list; throws `Error` if it cannot.
+  std::function<EndpointInfo(const StoreItem &)> DecodeEndpoint;
+};
+
+/// What the owner asks of its process.
+struct OwnerHooks {
+  std::function<void(const char *Reason)> Deposed;
+  /// When the store last confirmed the ownership.
+  std::function<TimePoint()> ConfirmedAt;
+  const Instructions *Current = nullptr;
+  std::function<std::optional<TimePoint>()> InstructionsConfirmedAt;
+};
+
+/// Decides about all jobs and endpoints. Only one process is the owner. A
+/// start is ordered only after the assignment of the task to its endpoint is
+/// stored, so a later owner knows every endpoint where a task may run. An end
+/// is acknowledged only after it is stored.
+class Owner {
+public:
+  Owner(Executor &Clock, Store &Source, Endpoints &Workers, Advisor &Service,
+        Recorder &Log, OwnerOptions Options, OwnerHooks Hooks, GuardRecord Held,
+        int64_t Revision);
+
+  /// Reads the stored state and then begins to act.
+  void start();
+
+  /// True once the stored state is read.
+  bool isReady() const { return IsLoaded; }
+
+  struct JobView {
+    JobStatus Status = JobStatus::Queued;
+    std::string Queue;
+    std::string Team;
+  };
+  /// The job as callers see it; nothing if the owner does not know it.
+  std::optional<JobView> find(const JobId &Id) const;
+
+  /// Accepted jobs of \p Queue of which no task has started.
+  int64_t pending(const std::string &Queue) const;
+
+  void instructionsChanged() { requestPass(); }
+  void setLanes(const std::vector<protocol::Address> &Addresses) {
+    Desk.setLanes(Addresses);
+  }
+
+private:
+  struct Ticket {
+    std::string Text;
+    TimePoint ValidUntil;
+  };
+  /// What the advisory service said of one step.
+  struct StepAdvice {
+    std::unordered_map<EndpointId, Ticket> Allowed;
+    std::unordered_set<EndpointId> Refused;
+    bool InFlight = false;
+    TimePoint NotBefore;
+  };
+  /// A waiting step, in the order in which steps are served.
+  struct Candidate {
+    JobState *Job = nullptr;
+    StepKey Key;
+    int32_t Priority = 0;
+    bool IsHopeless = false; ///< Too late to be worth anything.
+    TimePoint Objective;
+  };
+
+  // owner_load.cpp
+  void loadState();
+  void onIntake(const StoreItem &Item);
+  void addJob(const JobId &Id, const std::string &Text);
+  void cancelJob(const JobId &Id);
+  void restoreAssignments(JobState &Job);
+  void onEndpointItem(const StoreItem &Item);
+  void removeEnded();
+
+  // owner_store.cpp
+  void markChanged(JobState &Job);
+  void flush();
+  void onFlushed(const std::vector<std::pair<JobId, int64_t>> &Written);
+  void acknowledgeStored(const JobId &Id);
+  void endJob(JobState &Job, JobStatus Status);
+
+  // owner_renewals.cpp
+  void renewLater(const EndpointId &Id, Duration Delay);
+  void renew(const EndpointId &Id, bool Waits);
+  void onRenewed(const EndpointId &Id, RenewResult Result, uint64_t Number,
+                 int64_t Token, TimePoint Sent, bool Waited);
+  bool noteLife(EndpointState &Endpoint, const RenewResult &Result);
+  void noteEnds(EndpointState &Endpoint, const std::vector<EndRow> &Ends);
+  void noteEnd(EndpointState &Endpoint, const EndRow &End);
+  void noteRuns(EndpointState &Endpoint, const RenewResult &Result,
+                int64_t Token, TimePoint Sent);
+  void noteStray(EndpointState &Endpoint, const RunRow &Row);
+  void noteSilence(EndpointState &Endpoint, TimePoint Now);
+  void raiseToken(EndpointState &Endpoint);
+  int64_t leaseUntil(const EndpointState &Endpoint, TimePoint Now) const;
+
+  // owner_orders.cpp
+  void orderAssigned(JobState &Job);
+  void orderStart(JobState &Job, const TaskKey &Key, TaskState &Task);
+  void onStarted(const TaskKey &Key, int64_t Attempt, const EndpointId &Where,
+                 int64_t Token, const OrderResult &Result);
+  void orderStop(const TaskKey &Key, TaskState &Task);
+  void stopRuns(JobState &Job);
+  void stopStep(JobState &Job, const TaskKey &Member);
+  void releaseTask(const TaskKey &Key, const char *Why);
+  void taskDone(JobState &Job, const TaskKey &Key);
+  void taskFailed(JobState &Job, const TaskKey &Key);
+  bool mayStartOn(const EndpointState &Endpoint, const JobState &Job) const;
+  void avoid(EndpointState &Endpoint, Duration First);
+
+  // owner_pace.cpp
+  void controlPace(EndpointState &Endpoint);
+  void drainEndpoint(EndpointState &Endpoint);
+
+  // owner_placement.cpp
+  void requestPass();
+  void pass();
+  void updateDue();
+  void updateReady(JobState &Job);
+  std::vector<Candidate> candidates();
+  void placeStep(const Candidate &Next);
+  void placeGang(const Candidate &Next, StepState &State, StepAdvice *Advice);
+  EndpointState *choose(const JobState &Job, const StepSpec &Step,
+                        const StepKey &Key, StepAdvice *Advice);
+  bool fitsTeam(const JobState &Job, const Resources &Need) const;
+  double score(const EndpointState &Endpoint, const StepSpec &Step) const;
+  int32_t countOn(const EndpointState &Endpoint, const StepKey &Key) const;
+  void occupy(EndpointState &Endpoint, const JobState &Job, const TaskKey &Key);
+  void vacate(const JobState &Job, const TaskKey &Key, const EndpointId &Where);
+
+  // owner_advice.cpp
+  StepAdvice *adviceFor(const JobState &Job, const StepKey &Key);
+  void askAdvice(const JobState &Job, const StepKey &Key, StepAdvice &Advice,
+                 int32_t Wanted);
+  void onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
+                const std::string &Queue, TimePoint Sent, Advice Result);
+
+  const QueuePolicy &policyOf(const JobState &Job) const;
+  JobState *jobOf(const JobId &Id);
+  void tick();
+
+  template <typename Call> auto guarded(Call Body) {
+    return [Body = std::move(Body),
+            Token = std::weak_ptr<char>(Alive)](auto &&...Values) mutable {
+      if (!Token.expired())
+        Body(std::forward<decltype(Values)>(Values)...);
+    };
+  }
+
+  Executor &Clock;
+  Store &Source;
+  Endpoints &Workers;
+  Recorder &Log;
+  const OwnerOptions Options;
+  const OwnerHooks Hooks;
+  const int64_t Epoch;
+  const TimePoint GainedAt;
+  Journal Writes;
+  Follower Intake;
+  Follower Discovery;
+  AdviceDesk Desk;
+
+  std::unordered_map<JobId, std::unique_ptr<JobState>> Jobs;
+  std::unordered_map<JobId, std::string> StoredStates; ///< Until jobs come.
+  std::unordered_set<JobId> CancelledBefore; ///< Marks seen before their job.
+  std::unordered_set<JobId> Open;            ///< Jobs that have not ended.
+  std::set<StepKey> Backlog;                 ///< Ready steps that wait.
+  EndpointTable Table;
+  std::unordered_map<std::string, Resources> TeamUsage;
+  std::map<StepKey, StepAdvice> Advices;
+  std::unordered_map<std::string, double> AllowedShare; ///< By queue.
+  std::deque<JobId> Changed;                            ///< To be stored.
+  std::unordered_set<JobId> InChanged;
+  std::deque<JobId> ToRemove;
+  bool IsLoaded = false;
+  bool PassRequested = false;
+  TimePoint RemovedAt;
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/ports.hpp
@@ -0,0 +1,260 @@
+#pragma once
+
+#include "teaselwalk/base/enum_names.hpp"
+#include "teaselwalk/base/event_name.hpp"
+#include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cell/job.hpp"
+#include "teaselwalk/protocol/vm.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Interfaces towards the outside. All calls return at once; a callback runs
+/// later, exactly once, on the thread that runs the decisions.
+namespace teaselwalk::cell {
+
+class Executor {
+public:
+  virtual ~Executor() = default;
+  virtual TimePoint now() const = 0;      ///< Also counts suspended time.
+  virtual int64_t wallMillis() const = 0; ///< Ms since 1970; may jump.
+  virtual void after(Duration Delay, std::function<void()> Work) = 0;
+};
+
+using EventFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Logs and metrics of the process.
+class Recorder {
+public:
+  virtual ~Recorder() = default;
+  /// One log line. Never blocks.
+  virtual void event(EventName Name, EventFields Fields) = 0;
+  /// Adds to the counter of \p Name, such as `orders_lost`.
+  virtual void count(const char *Name, int64_t Amount = 1) = 0;
+  /// Adds one sample to the distribution of \p Name.
+  virtual void time(const char *Name, Duration Length) = 0;
+};
+
+enum class StoreOutcome {
+  Done,
+  Conflict,    ///< A condition did not hold; nothing was done.
+  NotFound,    ///< No such key or lease; nothing was done.
+  Refused,     ///< Surely nothing was done; may be tried again.
+  Unknown,     ///< No answer: done, not done, or done later.
+  HistoryGone, ///< Changes before the revision are no longer available.
+  Invalid,     ///< The store does not accept the call.
+};
+
+constexpr std::array<EnumName<StoreOutcome>, 7> StoreOutcomeNames = {{
+    {StoreOutcome::Done, "done"},
+    {StoreOutcome::Conflict, "conflict"},
+    {StoreOutcome::NotFound, "not_found"},
+    {StoreOutcome::Refused, "refused"},
+    {StoreOutcome::Unknown, "unknown"},
+    {StoreOutcome::HistoryGone, "history_gone"},
+    {StoreOutcome::Invalid, "invalid"},
+}};
+
+struct StoreItem {
+  std::string Key;
+  std::string Value;
+  int64_t Revision = 0; ///< 0: the key does not exist.
+  bool Deleted = false; ///< In events only.
+};
+
+struct StoreItems {
+  StoreOutcome Outcome = StoreOutcome::Unknown;
+  std::vector<StoreItem> Items;
+  int64_t AtRevision = 0;
+};
+
+struct StorePut {
+  std::string Key;
+  std::string Value;
+  int64_t Lease = 0; ///< 0: the item stays until it is removed.
+};
+
+/// All or nothing. At most `MaxTransactionEntries` entries together.
+struct StoreTransaction {
+  /// Key and the revision that it must have; 0: must not exist.
+  std::vector<std::pair<std::string, int64_t>> Conditions;
+  std::vector<StorePut> Puts;
+  std::vector<std::string> Removes;
+};
+
+constexpr size_t MaxTransactionEntries = 32; ///< Limit of the platform.
+
+struct CommitResult {
+  StoreOutcome Outcome = StoreOutcome::Unknown;
+  int64_t Revision = 0;
+  std::vector<StoreItem> Items; ///< On Conflict: the conditions' items.
+};
+
+struct LeaseResult {
+  StoreOutcome Outcome = StoreOutcome::Unknown;
+  int64_t Lease = 0;
+  Duration Ttl{0};
+};
+
+class Store {
+public:
+  virtual ~Store() = default;
+  /// One item; `NotFound` if it does not exist.
+  virtual void read(const std::string &Key, Duration Timeout,
+                    std::function<void(StoreItems)> Done) = 0;
+  /// All items under \p Prefix, page by page; not a snapshot. `AtRevision` is
+  /// that of the first page.
+  virtual void list(const std::string &Prefix, Duration Timeout,
+                    std::function<void(StoreItems)> Done) = 0;
+  /// Changes under \p Prefix after \p Revision; waits up to \p Wait for one.
+  virtual void watch(const std::string &Prefix, int64_t Revision, Duration Wait,
+                     std::function<void(StoreItems)> Done) = 0;
+  virtual void commit(const StoreTransaction &Change, Duration Timeout,
+                      std::function<void(CommitResult)> Done) = 0;
+  virtual void grantLease(Duration Ttl, Duration Timeout,
+                          std::function<void(LeaseResult)> Done) = 0;
+  virtual void renewLease(int64_t Lease, Duration Timeout,
+                          std::function<void(LeaseResult)> Done) = 0;
+  virtual void endLease(int64_t Lease, Duration Timeout,
+                        std::function<void(LeaseResult)> Done) = 0;
+};
+
+/// What an endpoint says about itself in the discovery list.
+struct EndpointInfo {
+  EndpointId Id;
+  protocol::Address Address;
+  std::string DataCentre;
+  std::string Service;
+  bool Draining = false;
+  Resources Capacity;
+  std::vector<std::string> Labels;
+  int64_t BornMs = 0; ///< Start of this life, ms since 1970.
+};
+
+enum class OrderOutcome {
+  Done,
+  StaleToken, ///< A higher fencing token was seen; nothing was done.
+  Superseded, ///< The attempt is not newer than an ended one.
+  TooLate,    ///< The lease time had passed.
+  NoRoom,
+  TicketRefused,
+  Invalid,
+  Unavailable, ///< Surely nothing was done.
+  OtherLife,   ///< Another incarnation answered; nothing was done.
+  Unknown,     ///< No answer: done, not done, or done later.
+};
+
+constexpr std::array<EnumName<OrderOutcome>, 10> OrderOutcomeNames = {{
+    {OrderOutcome::Done, "done"},
+    {OrderOutcome::StaleToken, "stale_token"},
+    {OrderOutcome::Superseded, "superseded"},
+    {OrderOutcome::TooLate, "too_late"},
+    {OrderOutcome::NoRoom, "no_room"},
+    {OrderOutcome::TicketRefused, "ticket_refused"},
+    {OrderOutcome::Invalid, "invalid"},
+    {OrderOutcome::Unavailable, "unavailable"},
+    {OrderOutcome::OtherLife, "other_life"},
+    {OrderOutcome::Unknown, "unknown"},
+}};
+
+struct StartOrder {
+  TaskKey Task;
+  int64_t Attempt = 0;
+  std::string Payload;
+  int64_t LeaseUntilMs = 0; ///< On the endpoint's clock.
+  int64_t Token = 0;        ///< Fencing token.
+  std::string Checkpoint;   ///< Empty: starts from the beginning.
+  std::string Ticket;       ///< Empty: the queue needs none.
+};
+
+/// How a run ended.
+enum class RunEnd { Done, Failed, Stopped, Lapsed, Broken, Alone };
+
+/// A task at work. For a serving task `Figure` is the tail of its response
+/// times in ms, for others the processors in use in thousandths.
+struct RunRow {
+  TaskKey Task;
+  int64_t Attempt = 0;
+  std::string Checkpoint;
+  int32_t Percent = 0;
+  int64_t Figure = 0;
+};
+
+struct EndRow {
+  int64_t Number = 0; ///< Rises within one life of the endpoint.
+  TaskKey Task;
+  int64_t Attempt = 0;
+  RunEnd How = RunEnd::Failed;
+  std::string Checkpoint;
+};
+
+struct RenewOrder {
+  int64_t Token = 0;
+  int64_t AcknowledgedEnd = 0; ///< Ends up to this number are forgotten.
+  int64_t LeaseUntilMs = 0;    ///< On the endpoint's clock; 0: unchanged.
+  Duration Wait{0};            ///< The answer waits this long for an end.
+};
+
+struct RenewResult {
+  OrderOutcome Outcome = OrderOutcome::Unknown;
+  int64_t ClockMs = 0;
+  int64_t BornMs = 0;
+  std::vector<RunRow> Running;
+  std::vector<EndRow> Ends;
+};
+
+struct OrderResult {
+  OrderOutcome Outcome = OrderOutcome::Unknown;
+  int64_t ClockMs = 0; ///< 0: not told.
+};
+
+class Endpoints {
+public:
+  virtual ~Endpoints() = default;
+  virtual void start(const EndpointInfo &To, const StartOrder &Order,
+                     std::function<void(OrderResult)> Done) = 0;
+  virtual void stop(const EndpointInfo &To, const TaskKey &Task,
+                    int64_t Attempt, int64_t Token,
+                    std::function<void(OrderResult)> Done) = 0;
+  virtual void renew(const EndpointInfo &To, const RenewOrder &Order,
+                     std::function<void(RenewResult)> Done) = 0;
+  /// Limits the share of its processors that a task may use, in percent.
+  virtual void pace(const EndpointInfo &To, const TaskKey &Task,
+                    int64_t Attempt, int32_t Percent, int64_t Token,
+                    std::function<void(OrderResult)> Done) = 0;
+};
+
+/// A step whose placement the advisory service decides.
+struct StepKey {
+  JobId Job;
+  int32_t Occurrence = 0;
+  int32_t Step = 0;
+
+  friend bool operator<(const StepKey &A, const StepKey &B) {
+    return std::tie(A.Job, A.Occurrence, A.Step) <
+           std::tie(B.Job, B.Occurrence, B.Step);
+  }
+};
+
+enum class AdviceOutcome { Answered, Busy, Unknown };
+
+struct Advice {
+  AdviceOutcome Outcome = AdviceOutcome::Unknown;
+  std::vector<std::pair<EndpointId, std::string>> Tickets;
+  Duration Validity{0};
+};
+
+class Advisor {
+public:
+  virtual ~Advisor() = default;
+  /// Asks through process \p Through; an empty address: from this process.
+  virtual void ask(const protocol::Address &Through, const StepKey &Step,
+                   const std::vector<EndpointId> &Candidates, Duration Timeout,
+                   std::function<void(Advice)> Done) = 0;
+};
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/presence.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "teaselwalk/cell/ports.hpp"
+
+#include <memory>
+#include <string>
+
+namespace teaselwalk::cell {
+
+/// Keeps a key of this process in the store, under a lease, so that the others
+/// find it.
+class Presence {
+public:
+  Presence(Executor &Clock, Store &Target, Recorder &Log, std::string Key,
+           std::string Value)
+      : Clock(Clock), Target(Target), Log(Log), Key(std::move(Key)),
+        Value(std::move(Value)) {}
+
+  void start() { grant(); }
+
+  /// Removes the key.
+  void stop();
+
+private:
+  void grant();
+  void write(int64_t NewLease);
+  void renew();
+  void later(Duration Delay, void (Presence::*Step)());
+
+  Executor &Clock;
+  Store &Target;
+  Recorder &Log;
+  const std::string Key;
+  const std::string Value;
+  int64_t Lease = 0;
+  bool Stopped = false;
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+/// The address in a presence value. Throws `Error` if there is none.
+protocol::Address decodePresence(const std::string &Text);
+std::string encodePresence(const protocol::Address &Address);
+
+} // namespace teaselwalk::cell
--- a/include/teaselwalk/http/message.hpp
+++ b/include/teaselwalk/http/message.hpp
@@ -2,6 +2,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace teaselwalk::http {
 
@@ -12,8 +14,13 @@
   std::string Body;
   std::string Bearer;    ///< Credential of the `Authorization` header.
   std::string RequestId; ///< `X-Request-Id`, empty if absent.
+  /// Sent: further headers. Received: all headers, with `Host`.
+  std::vector<std::pair<std::string, std::string>> Headers;
 };
 
+/// The value of the first header \p Name (any case), or "" if absent.
+std::string headerOf(const Request &Message, const std::string &Name);
+
 /// The target without its query.
 std::string pathOf(const Request &Message);
 
--- /dev/null
+++ b/src/teaselwalk/cell/advice_desk.cpp
@@ -0,0 +1,87 @@
+#include "teaselwalk/cell/advice_desk.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// A question that needs more than this may not use every lane.
+constexpr Duration LongQuestion{150};
+/// Of the lanes, this part is kept for short questions.
+constexpr size_t LanesPerShortLane = 4;
+/// Added to the expected time of a question before it counts as lost.
+constexpr Duration AnswerSlack{600};
+/// A lane whose question was lost rests this long.
+constexpr Duration LanePause{1500};
+
+} // namespace
+
+void AdviceDesk::setLanes(const std::vector<protocol::Address> &Addresses) {
+  std::vector<std::shared_ptr<Lane>> Next;
+  for (const protocol::Address &Through : Addresses) {
+    auto Same = [&](const std::shared_ptr<Lane> &L) {
+      return L->Through == Through;
+    };
+    auto Kept = std::find_if(Lanes.begin(), Lanes.end(), Same);
+    Next.push_back(Kept != Lanes.end()
+                       ? *Kept
+                       : std::make_shared<Lane>(Lane{Through, false, {}}));
+  }
+  Lanes.swap(Next);
+  dispatch();
+}
+
+void AdviceDesk::ask(Question Asked, Callback Done) {
+  auto IsLater = [&](const Entry &Other) {
+    return Asked.Deadline < Other.Asked.Deadline;
+  };
+  auto At = std::find_if(Waiting.begin(), Waiting.end(), IsLater);
+  Waiting.insert(At, {std::move(Asked), std::move(Done), Clock.now()});
+  dispatch();
+}
+
+std::shared_ptr<AdviceDesk::Lane> AdviceDesk::freeLane(bool IsLong) {
+  size_t Reserved = IsLong && Lanes.size() > 1
+                        ? 1 + (Lanes.size() - 1) / LanesPerShortLane
+                        : 0;
+  // Short questions fill the reserved lanes first.
+  for (size_t I = Reserved; I < Lanes.size(); ++I)
+    if (!Lanes[I]->IsBusy && Lanes[I]->AvoidUntil <= Clock.now())
+      return Lanes[I];
+  return nullptr;
+}
+
+void AdviceDesk::dispatch() {
+  for (auto It = Waiting.begin(); It != Waiting.end();) {
+    std::shared_ptr<Lane> Free = freeLane(It->Asked.Expected > LongQuestion);
+    if (!Free) {
+      ++It;
+      continue;
+    }
+    Entry Next = std::move(*It);
+    It = Waiting.erase(It);
+    send(Free, std::move(Next));
+  }
+}
+
+void AdviceDesk::send(const std::shared_ptr<Lane> &Free, Entry Next) {
+  Free->IsBusy = true;
+  Log.time("advice_wait", Clock.now() - Next.Since);
+  auto Sent = std::make_shared<Entry>(std::move(Next));
+  Service.ask(Free->Through, Sent->Asked.Step, Sent->Asked.Candidates,
+              Sent->Asked.Expected * 2 + AnswerSlack,
+              [this, Free, Sent, Asked = Clock.now(),
+               Token = std::weak_ptr<char>(Alive)](Advice Result) {
+                if (Token.expired())
+                  return;
+                Free->IsBusy = false;
+                if (Result.Outcome != AdviceOutcome::Answered)
+                  Free->AvoidUntil = Clock.now() + LanePause;
+                Log.time("advice_call", Clock.now() - Asked);
+                Sent->Done(std::move(Result));
+                dispatch();
+              });
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/cell.cpp
@@ -0,0 +1,166 @@
+#include "teaselwalk/cell/cell.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/keys.hpp"
+
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+FollowerOptions operatorOptions(const std::string &Prefix) {
+  FollowerOptions Options;
+  Options.Prefix = Prefix;
+  Options.Wait = Duration(900);
+  return Options;
+}
+
+FollowerOptions processOptions() {
+  FollowerOptions Options;
+  Options.Prefix = ProcessPrefix;
+  Options.Watches = false;
+  Options.Relist = Duration(2000);
+  return Options;
+}
+
+} // namespace
+
+Cell::Cell(const Surroundings &Given, CellOptions GivenOptions)
+    : Around(Given), Options(std::move(GivenOptions)),
+      Operators(Around.Clock, Around.Source, Around.Log,
+                operatorOptions(Options.InstructionPrefix),
+                [this](const StoreItem &Item) { onInstruction(Item); }),
+      Self(Around.Clock, Around.Source, Around.Log,
+           ProcessPrefix + Options.Name, encodePresence(Options.PeerAddress)),
+      Election(Around.Clock, Around.Source, Around.Log, Options.Process,
+               Options.PeerAddress, Options.ClaimDelay,
+               {[this](const GuardRecord &Held, int64_t Revision) {
+                  gained(Held, Revision);
+                },
+                [this](const char *) {
+                  Processes.reset();
+                  // The caller may be a method of the owner.
+                  Around.Clock.after(
+                      Duration(0),
+                      [Gone = std::shared_ptr<Owner>(std::move(Jobs))] {});
+                },
+                [this] { return Current.Config.Version > 0; }}),
+      Requests(Around.Clock, Around.Source, Around.Log, *this,
+               Options.KeyRevocation,
+               {&Current, [this] { return Operators.confirmedAt(); },
+                Options.DecodeSubmission}) {}
+
+void Cell::start() {
+  Operators.start();
+  Self.start();
+  Election.start();
+}
+
+void Cell::stop() {
+  Stopping = true;
+  Election.release();
+  Self.stop();
+}
+
+void Cell::onInstruction(const StoreItem &Item) {
+  int64_t Before = Current.Config.Version;
+  try {
+    Options.ApplyInstruction(Item, Current);
+  } catch (const std::exception &Failure) {
+    // The former configuration stays in force.
+    Around.Log.event(EventName::DocumentRefused,
+                     {{"key", Item.Key}, {"reason", Failure.what()}});
+    return;
+  }
+  if (Current.Config.Version != Before)
+    Around.Log.event(EventName::DocumentApplied,
+                     {{"version", std::to_string(Current.Config.Version)},
+                      {"before", std::to_string(Before)},
+                      {"queues", std::to_string(Current.Config.Queues.size())},
+                      {"teams", std::to_string(Current.Config.Teams.size())}});
+  else
+    Around.Log.event(EventName::EvacuationChanged,
+                     {{"key", Item.Key},
+                      {"revision", std::to_string(Item.Revision)},
+                      {"removed", Item.Deleted ? "true" : "false"}});
+  if (Jobs)
+    Jobs->instructionsChanged();
+}
+
+void Cell::gained(const GuardRecord &Held, int64_t Revision) {
+  OwnerHooks Hooks;
+  Hooks.Deposed = [this](const char *Reason) { Election.depose(Reason); };
+  Hooks.ConfirmedAt = [this] { return Election.confirmedAt(); };
+  Hooks.Current = &Current;
+  Hooks.InstructionsConfirmedAt = [this] { return Operators.confirmedAt(); };
+  Jobs = std::make_unique<Owner>(Around.Clock, Around.Source, Around.Workers,
+                                 Around.Service, Around.Log, Options.Owner,
+                                 std::move(Hooks), Held, Revision);
+  Peers.clear();
+  updateLanes();
+  Jobs->start();
+  Processes = std::make_unique<Follower>(
+      Around.Clock, Around.Source, Around.Log, processOptions(),
+      [this](const StoreItem &Item) { onProcess(Item); });
+  Processes->start([this] { updateLanes(); });
+}
+
+void Cell::onProcess(const StoreItem &Item) {
+  std::string Name = Item.Key.substr(std::string(ProcessPrefix).size());
+  if (Name == Options.Name)
+    return;
+  if (Item.Deleted)
+    Peers.erase(Name);
+  else
+    Peers[Name] = decodePresence(Item.Value);
+  updateLanes();
+}
+
+void Cell::updateLanes() {
+  if (!Jobs)
+    return;
+  std::vector<protocol::Address> Lanes{{}};
+  for (const auto &[Name, Address] : Peers)
+    Lanes.push_back(Address);
+  Jobs->setLanes(Lanes);
+}
+
+JobAnswer Cell::jobHere(const JobId &Id) const {
+  JobAnswer Answer;
+  if (!Jobs || !Jobs->isReady())
+    return Answer;
+  Answer.IsAnswered = true;
+  std::optional<Owner::JobView> View = Jobs->find(Id);
+  if (!View)
+    return Answer;
+  Answer.IsKnown = true;
+  Answer.Status = View->Status;
+  Answer.Queue = std::move(View->Queue);
+  Answer.Team = std::move(View->Team);
+  return Answer;
+}
+
+PendingAnswer Cell::pendingHere(const std::string &Queue) const {
+  if (!Jobs || !Jobs->isReady())
+    return {};
+  return {true, Jobs->pending(Queue)};
+}
+
+void Cell::job(const JobId &Id, std::function<void(JobAnswer)> Done) {
+  if (Jobs)
+    return Done(jobHere(Id));
+  if (!Election.owner() || Election.owner()->Process == Options.Process)
+    return Done({});
+  Around.Peers.job(Election.owner()->Address, Id, std::move(Done));
+}
+
+void Cell::pending(const std::string &Queue,
+                   std::function<void(PendingAnswer)> Done) {
+  if (Jobs)
+    return Done(pendingHere(Queue));
+  if (!Election.owner() || Election.owner()->Process == Options.Process)
+    return Done({});
+  Around.Peers.pending(Election.owner()->Address, Queue, std::move(Done));
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/front.cpp
@@ -0,0 +1,306 @@
+#include "teaselwalk/cell/front.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/job_state.hpp"
+#include "teaselwalk/cell/keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// A write that got no answer within this time is repeated once; the caller
+/// then repeats the request at another process.
+constexpr Duration StoreTimeout{900};
+constexpr Duration ReadTimeout{600};
+
+/// A caller that was refused for want of the store comes again after this.
+constexpr Duration RetryAfter{1000};
+
+/// A request without a stated limit is answered within this time.
+constexpr Duration DefaultLimit{3000};
+
+/// Keys are checked on a copy at most this part of the revocation bound old;
+/// the rest is for requests on their way and for changes that a watch misses.
+constexpr double KeyAgePart = 0.55;
+
+constexpr size_t IdLength = 16;
+
+bool isJobId(const std::string &Text) {
+  return Text.size() == IdLength &&
+         std::all_of(Text.begin(), Text.end(), [](unsigned char Letter) {
+           return std::isxdigit(Letter) != 0;
+         });
+}
+
+} // namespace
+
+/// One request on its way to its answer.
+struct Front::Context {
+  CallerRequest Request;
+  Reply Answer;
+  std::string Queue;
+  std::string Team;
+  QueuePolicy Policy;
+  JobId Id;
+  TimePoint Deadline;
+  int64_t ConfigVersion = 0;
+  Duration ConfigAge{0};
+  bool IsOpen = false;      ///< The queue takes callers without a key.
+  bool MayBeStored = false; ///< An attempt had no answer.
+};
+
+Front::Front(Executor &Clock, Store &Source, Recorder &Log, OwnerQueries &Owner,
+             Duration KeyRevocation, FrontHooks Hooks)
+    : Clock(Clock), Source(Source), Log(Log), Owner(Owner),
+      KeyRevocation(KeyRevocation), Hooks(std::move(Hooks)) {}
+
+bool Front::isReady() const {
+  auto Confirmed = Hooks.ConfirmedAt();
+  auto MaxAge = Duration(static_cast<int64_t>(
+      KeyAgePart * static_cast<double>(KeyRevocation.count())));
+  return Hooks.Current->Config.Version > 0 && Confirmed &&
+         Clock.now() - *Confirmed < MaxAge;
+}
+
+void Front::handle(const CallerRequest &Request, const Reply &Answer) {
+  auto Call = std::make_shared<Context>();
+  Call->Request = Request;
+  Call->Request.Body.clear();
+  Call->Answer = Answer;
+  Call->Deadline = Request.Arrived +
+                   (Request.Limit.count() > 0 ? Request.Limit : DefaultLimit);
+  const Configuration &Config = Hooks.Current->Config;
+  Call->ConfigVersion = Config.Version;
+  auto Confirmed = Hooks.ConfirmedAt();
+  Call->ConfigAge = Confirmed ? Clock.now() - *Confirmed : Duration(-1);
+  if (!isReady())
+    return refuse(Call, "the configuration is not confirmed");
+  const Queue *Target = Config.findQueue(Request.Host, Request.Path);
+  if (Target == nullptr)
+    return finish(Call, {AnswerKind::NoQueue, "no such queue"});
+  Call->Queue = Target->Name;
+  Call->Policy = Target->Policy;
+  Call->IsOpen = Target->Open;
+  const Team *Owning = Config.teamOfKey(Request.Key);
+  if (Owning == nullptr && !Target->Open)
+    return finish(Call, {AnswerKind::KeyUnknown, "unknown key"});
+  Call->Team = Owning == nullptr ? "" : Owning->Name;
+  std::string Rest = Request.Path.substr(Target->PathPrefix.size());
+  if (Request.Action == CallerAction::Pending) {
+    if (!Rest.empty())
+      return finish(Call, {AnswerKind::NoQueue, "no such path"});
+    return pending(Call);
+  }
+  if (!isJobId(Rest))
+    return finish(
+        Call, {AnswerKind::Malformed, "a job id has 16 hexadecimal digits"});
+  Call->Id = JobId(Rest);
+  if (Request.Action == CallerAction::Submit)
+    return submit(Call, Request.Body);
+  if (Request.Action == CallerAction::Status)
+    return status(Call);
+  if (Request.Action == CallerAction::Cancel)
+    return cancel(Call);
+  finish(Call, {AnswerKind::Malformed, "unknown method"});
+}
+
+void Front::submit(const ContextPtr &Call, const std::string &Body) {
+  JobSpec Job;
+  try {
+    Job = Hooks.DecodeSubmission(Body);
+    Job.Id = Call->Id;
+    Job.Queue = Call->Queue;
+    Job.Team = Call->Team;
+    Job.Policy = Call->Policy;
+    Job.AcceptedMs = Clock.wallMillis();
+    validate(Job);
+  } catch (const std::exception &Failure) {
+    return finish(Call, {AnswerKind::Malformed, Failure.what()});
+  }
+  store(Call, encodeJob(Job));
+}
+
+void Front::store(const ContextPtr &Call, const std::string &Record) {
+  Duration Left = Call->Deadline - Clock.now();
+  if (Left.count() <= 0)
+    return uncertain(Call, "the store did not answer in time");
+  StoreTransaction Change;
+  Change.Conditions = {{jobKey(Call->Id), 0}};
+  Change.Puts = {{jobKey(Call->Id), Record, 0}};
+  Source.commit(Change, std::min(Left, StoreTimeout),
+                [this, Call, Record](const CommitResult &Result) {
+                  onStored(Call, Record, Result);
+                });
+}
+
+void Front::onStored(const ContextPtr &Call, const std::string &Record,
+                     const CommitResult &Result) {
+  switch (Result.Outcome) {
+  case StoreOutcome::Done:
+    return finish(Call, {AnswerKind::Done, "stored"});
+  case StoreOutcome::Unknown:
+    // The record may be there or may come later. A second attempt finds out
+    // quickly if only the answer was lost.
+    if (std::exchange(Call->MayBeStored, true))
+      return uncertain(Call, "the store did not answer");
+    return store(Call, Record);
+  case StoreOutcome::Conflict:
+    for (const StoreItem &Item : Result.Items) {
+      if (Item.Revision == 0)
+        continue;
+      try {
+        JobSpec Stored = decodeJob(Call->Id, Item.Value);
+        if (isOwnJob(*Call, Stored.Queue, Stored.Team))
+          return finish(Call, {AnswerKind::Done, "stored before"});
+      } catch (const Error &Failure) {
+        Log.event(EventName::RecordMalformed,
+                  {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+      }
+      return finish(Call, {AnswerKind::Malformed, "the id is in use"});
+    }
+    return uncertain(Call, "the store's answer names no record");
+  default:
+    break;
+  }
+  if (Call->MayBeStored)
+    return uncertain(Call, "an earlier attempt may still be stored");
+  refuse(Call, "the store does not take the record");
+}
+
+void Front::status(const ContextPtr &Call) {
+  Owner.job(Call->Id, [this, Call](const JobAnswer &Found) {
+    // The owner may not have read a new record yet.
+    if (!Found.IsAnswered || !Found.IsKnown)
+      return statusFromStore(Call);
+    if (!isOwnJob(*Call, Found.Queue, Found.Team))
+      return finish(Call, {AnswerKind::NoJob, "no such job in this queue"});
+    CallerAnswer Answer{AnswerKind::Done, "owner"};
+    Answer.State = Found.Status;
+    finish(Call, Answer);
+  });
+}
+
+void Front::statusFromStore(const ContextPtr &Call) {
+  Source.read(jobKey(Call->Id), ReadTimeout, [this, Call](const StoreItems &R) {
+    if (R.Outcome == StoreOutcome::NotFound)
+      return finish(Call, {AnswerKind::NoJob, "no such job"});
+    if (R.Outcome != StoreOutcome::Done)
+      return uncertain(Call, "the store did not answer");
+    JobSpec Job;
+    try {
+      Job = decodeJob(Call->Id, R.Items.front().Value);
+    } catch (const Error &Failure) {
+      Log.event(EventName::RecordMalformed,
+                {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+      return uncertain(Call, "the record cannot be read");
+    }
+    if (!isOwnJob(*Call, Job.Queue, Job.Team))
+      return finish(Call, {AnswerKind::NoJob, "no such job in this queue"});
+    Source.read(
+        stateKey(Call->Id), ReadTimeout,
+        [this, Call, Job](const StoreItems &State) {
+          bool HasState = State.Outcome == StoreOutcome::Done;
+          if (!HasState && State.Outcome != StoreOutcome::NotFound)
+            return uncertain(Call, "the store did not answer");
+          CallerAnswer Answer{AnswerKind::Done, "store"};
+          try {
+            JobState Progress(Job);
+            if (HasState)
+              Progress.restore(State.Items.front().Value);
+            Answer.State = Progress.Status;
+            if (!Progress.isEnded())
+              Answer.State =
+                  Progress.IsStarted ? JobStatus::Running : JobStatus::Queued;
+          } catch (const Error &Failure) {
+            Log.event(EventName::RecordMalformed,
+                      {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+            return uncertain(Call, "the record cannot be read");
+          }
+          finish(Call, Answer);
+        });
+  });
+}
+
+void Front::cancel(const ContextPtr &Call) {
+  Source.read(jobKey(Call->Id), ReadTimeout, [this, Call](const StoreItems &R) {
+    if (R.Outcome == StoreOutcome::NotFound)
+      return finish(Call, {AnswerKind::NoJob, "no such job"});
+    if (R.Outcome != StoreOutcome::Done)
+      return uncertain(Call, "the store did not answer");
+    try {
+      JobSpec Job = decodeJob(Call->Id, R.Items.front().Value);
+      if (!isOwnJob(*Call, Job.Queue, Job.Team))
+        return finish(Call, {AnswerKind::NoJob, "no such job in this queue"});
+    } catch (const Error &Failure) {
+      Log.event(EventName::RecordMalformed,
+                {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+      return uncertain(Call, "the record cannot be read");
+    }
+    markCancelled(Call, R.Items.front().Revision);
+  });
+}
+
+void Front::markCancelled(const ContextPtr &Call, int64_t JobRevision) {
+  StoreTransaction Change;
+  Change.Conditions = {{jobKey(Call->Id), JobRevision}};
+  Change.Puts = {{cancelKey(Call->Id), "{}", 0}};
+  Source.commit(Change, StoreTimeout,
+                [this, Call, JobRevision](const CommitResult &R) {
+                  if (R.Outcome == StoreOutcome::Done)
+                    return finish(Call, {AnswerKind::Done, "cancelled"});
+                  if (R.Outcome == StoreOutcome::Conflict)
+                    return finish(Call, {AnswerKind::NoJob, "no such job"});
+                  // A cancellation may be repeated without harm.
+                  bool HasTime = Clock.now() < Call->Deadline;
+                  if (R.Outcome == StoreOutcome::Unknown && HasTime &&
+                      !std::exchange(Call->MayBeStored, true))
+                    return markCancelled(Call, JobRevision);
+                  uncertain(Call, "the store did not answer");
+                });
+}
+
+void Front::pending(const ContextPtr &Call) {
+  Owner.pending(Call->Queue, [this, Call](const PendingAnswer &Found) {
+    if (!Found.IsAnswered)
+      return refuse(Call, "the owner did not answer");
+    CallerAnswer Answer{AnswerKind::Done, "owner"};
+    Answer.Pending = Found.Count;
+    finish(Call, Answer);
+  });
+}
+
+bool Front::isOwnJob(const Context &Call, const std::string &Queue,
+                     const std::string &Team) const {
+  return Call.Queue == Queue && (Call.IsOpen || Team == Call.Team);
+}
+
+void Front::uncertain(const ContextPtr &Call, const char *Why) const {
+  finish(Call, {AnswerKind::Uncertain, Why});
+}
+
+void Front::refuse(const ContextPtr &Call, const char *Why) const {
+  CallerAnswer Answer{AnswerKind::Refused, Why};
+  Answer.RetryAfter = RetryAfter;
+  finish(Call, Answer);
+}
+
+void Front::finish(const ContextPtr &Call, CallerAnswer Answer) const {
+  Duration Spent = Clock.now() - Call->Request.Arrived;
+  Log.time("caller_answer", Spent);
+  Log.event(
+      EventName::CallerAnswered,
+      {{"action", std::string(nameOf(CallerActionNames, Call->Request.Action))},
+       {"job", Call->Id.str()},
+       {"queue", Call->Queue},
+       {"team", Call->Team},
+       {"outcome", std::string(nameOf(AnswerKindNames, Answer.Kind))},
+       {"reason", Answer.Reason},
+       {"config", std::to_string(Call->ConfigVersion)},
+       {"config_age_ms", std::to_string(Call->ConfigAge.count())},
+       {"took_ms", std::to_string(Spent.count())}});
+  Call->Answer(Answer);
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/job_state.cpp
@@ -0,0 +1,174 @@
+#include "teaselwalk/cell/job_state.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+using Json = nlohmann::json;
+
+/// In the record a task is 0 (nothing known), 1 (done) or a row of attempt,
+/// failures, endpoint ("" unless it may run there) and checkpoint.
+Json encodeTask(const TaskState &Task) {
+  if (Task.Phase == TaskPhase::Done)
+    return 1;
+  if (Task.Attempt == 0)
+    return 0;
+  bool MayRun = Task.Phase != TaskPhase::Waiting;
+  Json Row = {Task.Attempt, Task.Failures, MayRun ? Task.Where.str() : ""};
+  if (!Task.Checkpoint.empty())
+    Row.push_back(Task.Checkpoint);
+  return Row;
+}
+
+void restoreTask(const Json &Value, TaskState &Task) {
+  if (Value.is_number()) {
+    Task.Phase = Value.get<int>() == 1 ? TaskPhase::Done : TaskPhase::Waiting;
+    return;
+  }
+  Task.Attempt = Value.at(0);
+  Task.Failures = Value.at(1);
+  Task.Where = EndpointId(Value.at(2).get<std::string>());
+  Task.Phase = Task.Where.empty() ? TaskPhase::Waiting : TaskPhase::Assigned;
+  if (Value.size() > 3)
+    Task.Checkpoint = Value.at(3);
+}
+
+} // namespace
+
+JobState::JobState(JobSpec Given) : Spec(std::move(Given)) {
+  Occurrences.resize(static_cast<size_t>(Spec.occurrences()));
+  for (OccurrenceState &Occurrence : Occurrences) {
+    Occurrence.Steps.resize(Spec.Steps.size());
+    for (size_t I = 0; I < Spec.Steps.size(); ++I)
+      Occurrence.Steps[I].Tasks.resize(
+          static_cast<size_t>(Spec.Steps[I].Tasks));
+    recount(Occurrence);
+  }
+}
+
+TaskState *JobState::find(const TaskKey &Key) {
+  auto Occurrence = static_cast<size_t>(Key.Occurrence);
+  auto Step = static_cast<size_t>(Key.Step);
+  auto Index = static_cast<size_t>(Key.Index);
+  if (Occurrence >= Occurrences.size() || Step >= Spec.Steps.size() ||
+      Index >= Occurrences[Occurrence].Steps[Step].Tasks.size())
+    return nullptr;
+  return &Occurrences[Occurrence].Steps[Step].Tasks[Index];
+}
+
+StepState &JobState::stateOf(const TaskKey &Key) {
+  return Occurrences[static_cast<size_t>(Key.Occurrence)]
+      .Steps[static_cast<size_t>(Key.Step)];
+}
+
+bool JobState::isReady(const OccurrenceState &Occurrence, size_t Step) const {
+  for (int32_t Earlier : Spec.Steps[Step].After) {
+    const StepState &State = Occurrence.Steps[static_cast<size_t>(Earlier)];
+    if (State.Done < Spec.Steps[static_cast<size_t>(Earlier)].Tasks)
+      return false;
+  }
+  return true;
+}
+
+bool JobState::allDone() const {
+  for (const OccurrenceState &Occurrence : Occurrences)
+    if (static_cast<size_t>(Occurrence.StepsDone) < Spec.Steps.size())
+      return false;
+  return true;
+}
+
+void JobState::assign(StepState &Step, TaskState &Task, const EndpointId &Where,
+                      int64_t Attempt) {
+  --Step.Waiting;
+  IsStarted = true;
+  Task.Phase = TaskPhase::Assigned;
+  Task.IsOrdered = false;
+  Task.IsStopping = false;
+  Task.Where = Where;
+  Task.Attempt = Attempt;
+  Task.OrderToken = 0;
+  Task.AnsweredAt = TimePoint();
+  Task.Pace = 100;
+  Task.Percent = 0;
+  Task.Figure = 0;
+}
+
+void JobState::release(StepState &Step, TaskState &Task) {
+  ++Step.Waiting;
+  Task.Phase = TaskPhase::Waiting;
+  Task.IsStopping = false;
+  Task.IsOrdered = false;
+}
+
+void JobState::complete(OccurrenceState &Occurrence, size_t Step,
+                        TaskState &Task) {
+  if (Task.Phase == TaskPhase::Done)
+    return;
+  StepState &State = Occurrence.Steps[Step];
+  if (Task.Phase == TaskPhase::Waiting)
+    --State.Waiting;
+  Task.Phase = TaskPhase::Done;
+  ++State.Done;
+  if (State.Done == Spec.Steps[Step].Tasks)
+    ++Occurrence.StepsDone;
+}
+
+std::string JobState::encode() const {
+  Json Rows = Json::array();
+  for (const OccurrenceState &Occurrence : Occurrences) {
+    Json Steps = Json::array();
+    for (const StepState &Step : Occurrence.Steps) {
+      Json Tasks = Json::array();
+      for (const TaskState &Task : Step.Tasks)
+        Tasks.push_back(encodeTask(Task));
+      Steps.push_back(std::move(Tasks));
+    }
+    Rows.push_back(std::move(Steps));
+  }
+  Json Document = {{"status", static_cast<int>(Status)}};
+  if (EndedMs != 0)
+    Document["ended"] = EndedMs;
+  // The tasks of an ended job may still have to be stopped.
+  Document["tasks"] = std::move(Rows);
+  return Document.dump();
+}
+
+void JobState::restore(const std::string &Text) {
+  try {
+    Json Document = Json::parse(Text);
+    Status = static_cast<JobStatus>(Document.at("status").get<int>());
+    StoredStatus = Status;
+    EndedMs = Document.value("ended", int64_t(0));
+    const Json &Rows = Document.at("tasks");
+    for (size_t K = 0; K < Occurrences.size(); ++K) {
+      for (size_t S = 0; S < Spec.Steps.size(); ++S)
+        for (size_t T = 0; T < Occurrences[K].Steps[S].Tasks.size(); ++T)
+          restoreTask(Rows.at(K).at(S).at(T), Occurrences[K].Steps[S].Tasks[T]);
+      recount(Occurrences[K]);
+    }
+  } catch (const Json::exception &Failure) {
+    throw Error("state record " + Spec.Id.str() + ": " + Failure.what());
+  }
+}
+
+void JobState::recount(OccurrenceState &Occurrence) {
+  Occurrence.StepsDone = 0;
+  for (StepState &Step : Occurrence.Steps) {
+    Step.Done = 0;
+    Step.Waiting = 0;
+    for (const TaskState &Task : Step.Tasks) {
+      Step.Done += Task.Phase == TaskPhase::Done ? 1 : 0;
+      Step.Waiting += Task.Phase == TaskPhase::Waiting ? 1 : 0;
+      IsStarted |= Task.Attempt > 0 || Task.Phase == TaskPhase::Done;
+    }
+    if (static_cast<size_t>(Step.Done) == Step.Tasks.size())
+      ++Occurrence.StepsDone;
+  }
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/journal.cpp
@@ -0,0 +1,101 @@
+#include "teaselwalk/cell/journal.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/keys.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Well above the slowest answer of a store that is slow but not down.
+constexpr Duration CommitTimeout{1000};
+constexpr Duration RetryPause{80};
+
+} // namespace
+
+std::string GuardRecord::encode() const {
+  return nlohmann::json{
+      {"process", Process}, {"epoch", Epoch}, {"sequence", Sequence}}
+      .dump();
+}
+
+GuardRecord GuardRecord::decode(const std::string &Text) {
+  try {
+    nlohmann::json Document = nlohmann::json::parse(Text);
+    return {Document.at("process"), Document.at("epoch"),
+            Document.at("sequence")};
+  } catch (const nlohmann::json::exception &Failure) {
+    throw Error(std::string("guard record: ") + Failure.what());
+  }
+}
+
+Journal::Journal(Executor &Clock, Store &Target, Recorder &Log,
+                 GuardRecord Held, int64_t Revision)
+    : Clock(Clock), Target(Target), Log(Log), Held(std::move(Held)),
+      Revision(Revision) {}
+
+void Journal::commit(StoreTransaction Change, std::function<void(bool)> Call) {
+  Busy = true;
+  StartedAt = Clock.now();
+  ++Held.Sequence;
+  Current = std::move(Change);
+  Current.Puts.push_back({GuardKey, Held.encode(), 0});
+  Done = std::move(Call);
+  attempt();
+}
+
+void Journal::attempt() {
+  Current.Conditions = {{GuardKey, Revision}};
+  Target.commit(
+      Current, CommitTimeout,
+      [this, Token = std::weak_ptr<char>(Alive)](const CommitResult &Result) {
+        if (!Token.expired())
+          onResult(Result);
+      });
+}
+
+void Journal::onResult(const CommitResult &Result) {
+  if (Result.Outcome == StoreOutcome::Done) {
+    Revision = Result.Revision;
+    return finish(true);
+  }
+  if (Result.Outcome != StoreOutcome::Conflict)
+    return retry(Result.Outcome);
+  for (const StoreItem &Item : Result.Items) {
+    if (Item.Key != GuardKey || Item.Revision == 0)
+      continue;
+    GuardRecord Found = GuardRecord::decode(Item.Value);
+    if (Found.Process != Held.Process || Found.Epoch != Held.Epoch)
+      return finish(false);
+    Revision = Item.Revision;
+    // An earlier attempt, whose answer was lost, has taken effect.
+    if (Found.Sequence == Held.Sequence)
+      return finish(true);
+    return attempt();
+  }
+  retry(Result.Outcome);
+}
+
+void Journal::retry(StoreOutcome Outcome) {
+  Log.count("journal_retries");
+  Log.event(EventName::StoreCallFailed,
+            {{"call", "commit"},
+             {"sequence", std::to_string(Held.Sequence)},
+             {"outcome", std::string(nameOf(StoreOutcomeNames, Outcome))}});
+  Clock.after(RetryPause, [this, Token = std::weak_ptr<char>(Alive)] {
+    if (!Token.expired())
+      attempt();
+  });
+}
+
+void Journal::finish(bool Written) {
+  Busy = false;
+  Log.time("journal_commit", Clock.now() - StartedAt);
+  if (auto Call = std::exchange(Done, nullptr))
+    Call(Written);
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/leadership.cpp
@@ -0,0 +1,226 @@
+#include "teaselwalk/cell/leadership.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/keys.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Bounds the takeover after the owner's death. The platform's shortest lease
+/// is 1,000 ms; a renewal may be lost without effect.
+constexpr Duration OwnerLease{1600};
+constexpr Duration RenewInterval{400};
+constexpr Duration CallTimeout{700};
+constexpr Duration RetryPause{150};
+/// Attempts to find out whether a claim without an answer took effect.
+constexpr int MaxResolveAttempts = 40;
+
+FollowerOptions presenceOptions() {
+  FollowerOptions Options;
+  Options.Prefix = OwnerKey;
+  Options.Wait = Duration(1500);
+  return Options;
+}
+
+} // namespace
+
+std::string OwnerRecord::encode() const {
+  return nlohmann::json{{"process", Process},
+                        {"ip", Address.Ip},
+                        {"port", Address.Port},
+                        {"epoch", Epoch}}
+      .dump();
+}
+
+OwnerRecord OwnerRecord::decode(const std::string &Text) {
+  try {
+    nlohmann::json Document = nlohmann::json::parse(Text);
+    return {Document.at("process"),
+            {Document.at("ip"), Document.at("port")},
+            Document.at("epoch")};
+  } catch (const nlohmann::json::exception &Failure) {
+    throw Error(std::string("owner record: ") + Failure.what());
+  }
+}
+
+Leadership::Leadership(Executor &Clock, Store &Source, Recorder &Log,
+                       std::string Process, protocol::Address Address,
+                       Duration FirstDelay, Hooks Calls)
+    : Clock(Clock), Source(Source), Log(Log), Process(std::move(Process)),
+      Address(std::move(Address)), ClaimDelay(FirstDelay),
+      Calls(std::move(Calls)),
+      Presence(Clock, Source, Log, presenceOptions(),
+               [this](const StoreItem &Item) { onItem(Item); }) {}
+
+void Leadership::start() {
+  Presence.start([this] {
+    IsSynced = true;
+    if (!Seen)
+      scheduleClaim(ClaimDelay);
+  });
+}
+
+void Leadership::onItem(const StoreItem &Item) {
+  if (Item.Key != OwnerKey)
+    return;
+  if (Item.Deleted) {
+    Seen.reset();
+    if (IsSynced)
+      scheduleClaim(ClaimDelay);
+    return;
+  }
+  Seen = OwnerRecord::decode(Item.Value);
+  if (isOwner() && Seen->Process != Process)
+    depose("another process owns the jobs");
+}
+
+void Leadership::scheduleClaim(Duration Delay) {
+  if (Released || ClaimScheduled)
+    return;
+  ClaimScheduled = true;
+  Clock.after(Delay, guarded([this] {
+                ClaimScheduled = false;
+                claim();
+              }));
+}
+
+void Leadership::claim() {
+  if (Released || Seen || Claiming || isOwner())
+    return;
+  if (!Calls.MayOwn())
+    return scheduleClaim(RetryPause);
+  Claiming = true;
+  Source.grantLease(OwnerLease, CallTimeout,
+                    guarded([this](const LeaseResult &Result) {
+                      if (Result.Outcome == StoreOutcome::Done)
+                        return claimWithLease(Result.Lease);
+                      Claiming = false;
+                      scheduleClaim(RetryPause);
+                    }));
+}
+
+void Leadership::claimWithLease(int64_t NewLease) {
+  Source.read(GuardKey, CallTimeout,
+              guarded([this, NewLease](const StoreItems &Guard) {
+                bool IsKnown = Guard.Outcome == StoreOutcome::Done ||
+                               Guard.Outcome == StoreOutcome::NotFound;
+                if (!IsKnown)
+                  return giveUpClaim(NewLease);
+                commitClaim(NewLease, Guard);
+              }));
+}
+
+void Leadership::commitClaim(int64_t NewLease, const StoreItems &Guard) {
+  GuardRecord Record{Process, 1, 0};
+  int64_t Revision = 0;
+  if (!Guard.Items.empty()) {
+    Revision = Guard.Items.front().Revision;
+    Record.Epoch = GuardRecord::decode(Guard.Items.front().Value).Epoch + 1;
+  }
+  StoreTransaction Change;
+  Change.Conditions = {{OwnerKey, 0}, {GuardKey, Revision}};
+  Change.Puts = {{OwnerKey,
+                  OwnerRecord{Process, Address, Record.Epoch}.encode(),
+                  NewLease},
+                 {GuardKey, Record.encode(), 0}};
+  Source.commit(Change, CallTimeout,
+                guarded([this, NewLease, Record](const CommitResult &Result) {
+                  onClaimed(NewLease, Record, Result);
+                }));
+}
+
+void Leadership::onClaimed(int64_t NewLease, GuardRecord Record,
+                           const CommitResult &Result) {
+  if (Result.Outcome == StoreOutcome::Done)
+    return gain(NewLease, Record, Result.Revision);
+  if (Result.Outcome == StoreOutcome::Unknown)
+    return resolveClaim(NewLease, std::move(Record), 0);
+  giveUpClaim(NewLease);
+}
+
+void Leadership::resolveClaim(int64_t NewLease, GuardRecord Record,
+                              int Attempt) {
+  Source.read(
+      GuardKey, CallTimeout,
+      guarded([this, NewLease, Record, Attempt](const StoreItems &Guard) {
+        if (Guard.Outcome == StoreOutcome::Done) {
+          const StoreItem &Item = Guard.Items.front();
+          GuardRecord Found = GuardRecord::decode(Item.Value);
+          if (Found.Process == Record.Process && Found.Epoch == Record.Epoch)
+            return gain(NewLease, Record, Item.Revision);
+          return giveUpClaim(NewLease);
+        }
+        // The lease may lapse meanwhile; the claim then has no presence key
+        // and the next renewal finds that out.
+        if (Attempt >= MaxResolveAttempts ||
+            Guard.Outcome == StoreOutcome::NotFound)
+          return giveUpClaim(NewLease);
+        Clock.after(RetryPause, guarded([this, NewLease, Record, Attempt] {
+                      resolveClaim(NewLease, Record, Attempt + 1);
+                    }));
+      }));
+}
+
+void Leadership::gain(int64_t NewLease, const GuardRecord &Record,
+                      int64_t Revision) {
+  Claiming = false;
+  Lease = NewLease;
+  Owns = true;
+  ConfirmedAt = Clock.now();
+  Seen = OwnerRecord{Process, Address, Record.Epoch};
+  Log.event(EventName::OwnerClaimed, {{"epoch", std::to_string(Record.Epoch)},
+                                      {"revision", std::to_string(Revision)}});
+  Clock.after(RenewInterval, guarded([this] { renew(); }));
+  Calls.Gained(Record, Revision);
+}
+
+void Leadership::giveUpClaim(int64_t NewLease) {
+  Claiming = false;
+  Source.endLease(NewLease, CallTimeout, [](const LeaseResult &) {});
+  scheduleClaim(RetryPause);
+}
+
+void Leadership::renew() {
+  if (!isOwner())
+    return;
+  TimePoint Sent = Clock.now();
+  int64_t Renewed = Lease;
+  Source.renewLease(Lease, CallTimeout,
+                    guarded([this, Sent, Renewed](const LeaseResult &Result) {
+                      if (!isOwner() || Lease != Renewed)
+                        return;
+                      if (Result.Outcome == StoreOutcome::Done)
+                        ConfirmedAt = Sent;
+                      if (Result.Outcome == StoreOutcome::NotFound)
+                        return depose("the lease has lapsed");
+                      Clock.after(RenewInterval, guarded([this, Renewed] {
+                                    if (Lease == Renewed)
+                                      renew();
+                                  }));
+                    }));
+}
+
+void Leadership::depose(const char *Reason) {
+  if (!isOwner())
+    return;
+  Owns = false;
+  int64_t Ended = std::exchange(Lease, 0);
+  Source.endLease(Ended, CallTimeout, [](const LeaseResult &) {});
+  Log.event(EventName::OwnerLost, {{"reason", Reason}});
+  if (Seen && Seen->Process == Process)
+    Seen.reset();
+  Calls.Lost(Reason);
+  if (!Seen)
+    scheduleClaim(RetryPause);
+}
+
+void Leadership::release() {
+  Released = true;
+  depose("this process is stopping");
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -0,0 +1,144 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Limit of the advisory service for one question.
+constexpr size_t MaxCandidates = 100;
+/// A question names this many endpoints more than the share that was allowed
+/// before would need, as room goes away meanwhile.
+constexpr double CandidateReserve = 1.4;
+/// A ticket is not used in the last part of its validity: orders take time.
+constexpr Duration TicketMargin{250};
+constexpr Duration BusyPause{300};
+constexpr Duration NobodyPause{80};
+/// Weight of the newest answer in the learned share.
+constexpr double ShareWeight = 0.15;
+/// Assumed before the first answer.
+constexpr double FirstShare = 0.5;
+constexpr double LeastShare = 0.1;
+
+int64_t copiesThatFit(const Resources &Need, const Resources &Room) {
+  int64_t Copies = 64;
+  for (int64_t Resources::*Field : ResourceFields)
+    if (Need.*Field > 0)
+      Copies = std::min(Copies, Room.*Field / (Need.*Field));
+  return std::max<int64_t>(Copies, 0);
+}
+
+} // namespace
+
+Owner::StepAdvice *Owner::adviceFor(const JobState &Job, const StepKey &Key) {
+  return policyOf(Job).NeedsAdvice ? &Advices[Key] : nullptr;
+}
+
+void Owner::askAdvice(const JobState &Job, const StepKey &Key,
+                      StepAdvice &Advice, int32_t Wanted) {
+  TimePoint Now = Clock.now();
+  if (Advice.InFlight || Advice.NotBefore > Now)
+    return;
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  const QueuePolicy &Policy = policyOf(Job);
+  struct Choice {
+    EndpointId Id;
+    double Score;
+    double Chance;
+    int64_t Copies;
+  };
+  auto Learned = AllowedShare.find(Job.Spec.Queue);
+  double Share = Learned == AllowedShare.end() ? FirstShare : Learned->second;
+  std::vector<Choice> Choices;
+  for (auto &[Id, Endpoint] : Table) {
+    if (!mayStartOn(Endpoint, Job) || Advice.Refused.count(Id) != 0)
+      continue;
+    if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
+      continue;
+    auto Known = Advice.Allowed.find(Id);
+    bool IsAllowed = Known != Advice.Allowed.end();
+    if (IsAllowed && Known->second.ValidUntil > Now)
+      continue;
+    Resources Room = Endpoint.room();
+    if (Step.Opportunistic)
+      Room.MilliCpu -= Endpoint.OpportunisticCpu;
+    int64_t Copies = copiesThatFit(Step.Need, Room);
+    if (Step.MaxPerEndpoint > 0)
+      Copies = std::min<int64_t>(Copies,
+                                 Step.MaxPerEndpoint - countOn(Endpoint, Key));
+    if (Copies > 0)
+      Choices.push_back({Id, score(Endpoint, Step) - (IsAllowed ? 1e9 : 0),
+                         IsAllowed ? 1.0 : Share, Copies});
+  }
+  if (Choices.empty()) {
+    Advice.NotBefore = Now + NobodyPause;
+    return;
+  }
+  std::sort(Choices.begin(), Choices.end(),
+            [](const Choice &A, const Choice &B) { return A.Score < B.Score; });
+  Question Asked;
+  Asked.Step = Key;
+  double Expected = 0;
+  for (const Choice &Next : Choices) {
+    if (Expected >= Wanted * CandidateReserve ||
+        Asked.Candidates.size() >= MaxCandidates)
+      break;
+    Asked.Candidates.push_back(Next.Id);
+    Expected += Next.Chance *
+                static_cast<double>(std::min<int64_t>(Next.Copies, Wanted));
+  }
+  Asked.Expected =
+      Policy.AdviceBase + Duration(static_cast<int64_t>(
+                              Policy.AdvicePerEndpointMs *
+                              static_cast<double>(Asked.Candidates.size())));
+  Asked.Deadline = Job.Objective;
+  Advice.InFlight = true;
+  Log.count("advice_asked");
+  std::vector<EndpointId> Named = Asked.Candidates;
+  Desk.ask(std::move(Asked), guarded([this, Key, Named, Queue = Job.Spec.Queue,
+                                      Now](cell::Advice Result) {
+             onAdvice(Key, Named, Queue, Now, std::move(Result));
+           }));
+}
+
+void Owner::onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
+                     const std::string &Queue, TimePoint Sent,
+                     cell::Advice Result) {
+  auto Found = Advices.find(Key);
+  TimePoint Now = Clock.now();
+  Log.event(EventName::AdviceAnswered,
+            {{"job", Key.Job.str()},
+             {"step",
+              std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step)},
+             {"asked", std::to_string(Asked.size())},
+             {"allowed", std::to_string(Result.Tickets.size())},
+             {"answered",
+              Result.Outcome == AdviceOutcome::Answered ? "true" : "false"},
+             {"after_ms", std::to_string((Now - Sent).count())}});
+  if (Found == Advices.end())
+    return;
+  StepAdvice &Advice = Found->second;
+  Advice.InFlight = false;
+  if (Result.Outcome != AdviceOutcome::Answered) {
+    Advice.NotBefore = Now + BusyPause;
+    return requestPass();
+  }
+  // The service decides near the end of the call.
+  for (auto &[Id, Text] : Result.Tickets)
+    Advice.Allowed[Id] = {std::move(Text),
+                          Now + Result.Validity - TicketMargin};
+  for (const EndpointId &Id : Asked)
+    if (Advice.Allowed.count(Id) == 0)
+      Advice.Refused.insert(Id);
+  double Share = static_cast<double>(Result.Tickets.size()) /
+                 static_cast<double>(Asked.size());
+  auto Learned = AllowedShare.emplace(Queue, FirstShare).first;
+  Learned->second = std::max(LeastShare, Learned->second * (1 - ShareWeight) +
+                                             Share * ShareWeight);
+  requestPass();
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -0,0 +1,240 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/keys.hpp"
+#include "teaselwalk/cell/owner.hpp"
+
+#include <cstring>
+
+namespace teaselwalk::cell {
+namespace {
+
+constexpr Duration LoadTimeout{3000};
+constexpr Duration LoadRetry{150};
+constexpr Duration RemoveInterval{1000};
+/// Each ended job has three keys.
+constexpr size_t RemovesPerWrite = Journal::Capacity / 3;
+
+FollowerOptions intakeOptions() {
+  FollowerOptions Options;
+  Options.Prefix = IntakePrefix;
+  Options.Pause = Duration(12);
+  Options.Relist = Duration(10000);
+  return Options;
+}
+
+FollowerOptions discoveryOptions(const std::string &Prefix) {
+  FollowerOptions Options;
+  Options.Prefix = Prefix;
+  Options.Watches = false;
+  // A drain must be obeyed within 2 s.
+  Options.Relist = Duration(700);
+  return Options;
+}
+
+bool startsWith(const std::string &Text, const char *Prefix) {
+  return Text.compare(0, std::strlen(Prefix), Prefix) == 0;
+}
+
+} // namespace
+
+Owner::Owner(Executor &Clock, Store &Source, Endpoints &Workers,
+             Advisor &Service, Recorder &Log, OwnerOptions Given,
+             OwnerHooks Calls, GuardRecord Held, int64_t Revision)
+    : Clock(Clock), Source(Source), Workers(Workers), Log(Log),
+      Options(std::move(Given)), Hooks(std::move(Calls)), Epoch(Held.Epoch),
+      GainedAt(Clock.now()), Writes(Clock, Source, Log, Held, Revision),
+      Intake(Clock, Source, Log, intakeOptions(),
+             [this](const StoreItem &Item) { onIntake(Item); }),
+      Discovery(Clock, Source, Log, discoveryOptions(Options.EndpointPrefix),
+                [this](const StoreItem &Item) { onEndpointItem(Item); }),
+      Desk(Clock, Service, Log), RemovedAt(Clock.now()) {}
+
+void Owner::start() { loadState(); }
+
+void Owner::loadState() {
+  Source.list(
+      StatePrefix, LoadTimeout, guarded([this](StoreItems Result) {
+        if (Result.Outcome != StoreOutcome::Done) {
+          Clock.after(LoadRetry, guarded([this] { loadState(); }));
+          return;
+        }
+        for (StoreItem &Item : Result.Items)
+          StoredStates[JobId(Item.Key.substr(std::strlen(StatePrefix)))] =
+              std::move(Item.Value);
+        Intake.start([this] {
+          IsLoaded = true;
+          StoredStates.clear();
+          Log.event(
+              EventName::OwnerReady,
+              {{"epoch", std::to_string(Epoch)},
+               {"jobs", std::to_string(Jobs.size())},
+               {"open", std::to_string(Open.size())},
+               {"after_ms", std::to_string((Clock.now() - GainedAt).count())}});
+          Discovery.start();
+          tick();
+        });
+      }));
+}
+
+void Owner::onIntake(const StoreItem &Item) {
+  if (Item.Deleted)
+    return;
+  if (startsWith(Item.Key, JobPrefix))
+    addJob(JobId(Item.Key.substr(std::strlen(JobPrefix))), Item.Value);
+  else if (startsWith(Item.Key, CancelPrefix))
+    cancelJob(JobId(Item.Key.substr(std::strlen(CancelPrefix))));
+}
+
+void Owner::addJob(const JobId &Id, const std::string &Text) {
+  if (Jobs.count(Id) != 0)
+    return;
+  try {
+    auto Added = std::make_unique<JobState>(decodeJob(Id, Text));
+    JobState &Job = *Added;
+    auto Stored = StoredStates.find(Id);
+    if (Stored != StoredStates.end())
+      Job.restore(Stored->second);
+    int64_t Age =
+        std::max<int64_t>(0, Clock.wallMillis() - Job.Spec.AcceptedMs);
+    Duration Chain = longestChain(Job.Spec);
+    Job.Objective = Clock.now() - Duration(Age) +
+                    Duration(static_cast<int64_t>(
+                        Chain.count() * Job.Spec.Policy.SlackFactor)) +
+                    Job.Spec.Policy.Target;
+    Jobs[Id] = std::move(Added);
+    restoreAssignments(Job);
+    if (!Job.isEnded())
+      Open.insert(Id);
+    else
+      ToRemove.push_back(Id);
+  } catch (const Error &Failure) {
+    Log.event(EventName::RecordMalformed,
+              {{"job", Id.str()}, {"reason", Failure.what()}});
+    return;
+  }
+  JobState &Job = *Jobs[Id];
+  if (CancelledBefore.erase(Id) != 0)
+    cancelJob(Id);
+  if (!Job.isEnded())
+    updateReady(Job);
+}
+
+void Owner::restoreAssignments(JobState &Job) {
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
+      for (size_t T = 0; T < Job.Occurrences[K].Steps[S].Tasks.size(); ++T) {
+        TaskState &Task = Job.Occurrences[K].Steps[S].Tasks[T];
+        if (Task.Phase != TaskPhase::Assigned)
+          continue;
+        // A former owner may have ordered the run.
+        Task.IsOrdered = true;
+        Task.AssignedAt = GainedAt;
+        EndpointState &Endpoint = Table[Task.Where];
+        if (Endpoint.Token == 0) {
+          Endpoint.Info.Id = Task.Where;
+          Endpoint.Token = Epoch * TokensPerEpoch + 1;
+          Endpoint.UnlistedSince = GainedAt;
+          Endpoint.RenewedAt = GainedAt + FormerOwnerLimit;
+        }
+        occupy(Endpoint, Job,
+               {Job.Spec.Id, static_cast<int32_t>(K), static_cast<int32_t>(S),
+                static_cast<int32_t>(T)});
+      }
+}
+
+void Owner::cancelJob(const JobId &Id) {
+  JobState *Job = jobOf(Id);
+  if (Job == nullptr) {
+    CancelledBefore.insert(Id);
+    return;
+  }
+  if (Job->isEnded())
+    return;
+  Log.event(EventName::JobCancelled, {{"job", Id.str()}});
+  endJob(*Job, JobStatus::Cancelled);
+}
+
+void Owner::onEndpointItem(const StoreItem &Item) {
+  EndpointId Id(Item.Key.substr(Options.EndpointPrefix.size()));
+  if (Item.Deleted) {
+    auto Found = Table.find(Id);
+    if (Found == Table.end() || !Found->second.IsListed)
+      return;
+    Found->second.IsListed = false;
+    Found->second.UnlistedSince = Clock.now();
+    Log.event(EventName::EndpointGone, {{"endpoint", Id.str()}});
+    return;
+  }
+  EndpointInfo Info;
+  try {
+    Info = Options.DecodeEndpoint(Item);
+  } catch (const std::exception &Failure) {
+    Log.count("endpoint_entries_malformed");
+    Log.event(EventName::RecordMalformed,
+              {{"endpoint", Id.str()}, {"reason", Failure.what()}});
+    auto Found = Table.find(Id);
+    // The entry names no endpoint to use; what runs there is still renewed.
+    if (Found != Table.end())
+      Found->second.IsListed = false;
+    return;
+  }
+  EndpointState &Endpoint = Table[Id];
+  bool IsNew = Endpoint.Info.Address.Port == 0;
+  bool StartsToDrain = Info.Draining && !Endpoint.Info.Draining;
+  Endpoint.Info = std::move(Info);
+  bool WasListed = std::exchange(Endpoint.IsListed, true);
+  if (Endpoint.Token == 0)
+    Endpoint.Token = Epoch * TokensPerEpoch + 1;
+  if (!WasListed)
+    Log.event(EventName::EndpointJoined,
+              {{"endpoint", Id.str()},
+               {"data_centre", Endpoint.Info.DataCentre},
+               {"draining", Endpoint.Info.Draining ? "true" : "false"}});
+  if (IsNew)
+    renewLater(Id, Duration(0));
+  if (StartsToDrain) {
+    Log.event(EventName::EndpointLeaving, {{"endpoint", Id.str()}});
+    drainEndpoint(Endpoint);
+  }
+}
+
+void Owner::removeEnded() {
+  TimePoint Now = Clock.now();
+  if (Writes.isBusy() || ToRemove.empty() || Now - RemovedAt < RemoveInterval)
+    return;
+  RemovedAt = Now;
+  int64_t Limit = Clock.wallMillis() - Options.StatusKept.count();
+  StoreTransaction Change;
+  std::vector<JobId> Removed;
+  size_t Count = std::min(ToRemove.size(), RemovesPerWrite);
+  for (size_t I = 0; I < Count; ++I) {
+    JobId Id = ToRemove.front();
+    ToRemove.pop_front();
+    JobState *Job = jobOf(Id);
+    if (Job == nullptr)
+      continue;
+    bool IsKept = Job->EndedMs > Limit || Job->StoredVersion < Job->Version;
+    if (IsKept) {
+      ToRemove.push_back(Id);
+      continue;
+    }
+    Removed.push_back(Id);
+    Change.Removes.push_back(jobKey(Id));
+    Change.Removes.push_back(cancelKey(Id));
+    Change.Removes.push_back(stateKey(Id));
+  }
+  if (Removed.empty())
+    return;
+  Writes.commit(std::move(Change), guarded([this, Removed](bool Written) {
+                  if (!Written)
+                    return Hooks.Deposed("another process holds the guard");
+                  for (const JobId &Id : Removed) {
+                    Jobs.erase(Id);
+                    Log.event(EventName::JobRemoved, {{"job", Id.str()}});
+                  }
+                  flush();
+                }));
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_orders.cpp
@@ -0,0 +1,274 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+std::string nameOfTask(const TaskKey &Key) {
+  return std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step) + '.' +
+         std::to_string(Key.Index);
+}
+
+/// Pause of a task whose order was refused, before it is placed again.
+constexpr Duration RefusedPause{100};
+/// Pause of a task that an endpoint calls invalid.
+constexpr Duration InvalidPause{1000};
+
+} // namespace
+
+bool Owner::mayStartOn(const EndpointState &Endpoint,
+                       const JobState &Job) const {
+  TimePoint Now = Clock.now();
+  return Endpoint.IsListed && !Endpoint.Info.Draining &&
+         Endpoint.Info.Service == policyOf(Job).Service &&
+         Endpoint.FencedToken == Endpoint.Token && Endpoint.Strays.empty() &&
+         Now - Endpoint.AnsweredAt < SilenceLimit &&
+         Endpoint.AvoidUntil <= Now &&
+         Hooks.Current->EvacuatedDataCentres.count(Endpoint.Info.DataCentre) ==
+             0;
+}
+
+void Owner::avoid(EndpointState &Endpoint, Duration First) {
+  Endpoint.AvoidNext =
+      Endpoint.AvoidNext.count() == 0
+          ? First
+          : std::min<Duration>(Endpoint.AvoidNext * 2, AvoidLongest);
+  Endpoint.AvoidUntil = Clock.now() + Endpoint.AvoidNext;
+  Log.event(EventName::EndpointSuspended,
+            {{"endpoint", Endpoint.Info.Id.str()},
+             {"failures", std::to_string(Endpoint.FailuresInRow)},
+             {"for_ms", std::to_string(Endpoint.AvoidNext.count())}});
+}
+
+void Owner::orderAssigned(JobState &Job) {
+  TimePoint Now = Clock.now();
+  auto Confirmed = Hooks.InstructionsConfirmedAt();
+  bool HasAuthority = Now - Hooks.ConfirmedAt() < StartAuthority && Confirmed &&
+                      Now - *Confirmed < InstructionsAge;
+  std::vector<TaskKey> Starts;
+  std::vector<TaskKey> Drops;
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+      StepState &Step = Job.Occurrences[K].Steps[S];
+      std::vector<TaskKey> Fresh;
+      bool MayStart = HasAuthority && !Job.isEnded();
+      for (size_t T = 0; T < Step.Tasks.size(); ++T) {
+        TaskState &Task = Step.Tasks[T];
+        if (Task.Phase != TaskPhase::Assigned || Task.IsOrdered ||
+            Task.StoredWith > Job.StoredVersion)
+          continue;
+        TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
+                    static_cast<int32_t>(S), static_cast<int32_t>(T)};
+        bool IsGood = MayStart && mayStartOn(Table[Task.Where], Job);
+        Fresh.push_back(Key);
+        if (!IsGood)
+          Drops.push_back(Key);
+        else
+          Starts.push_back(Key);
+      }
+      bool IsBrokenGang = Job.Spec.Steps[S].Gang && !Drops.empty();
+      if (!IsBrokenGang)
+        continue;
+      // All tasks of a gang start or none.
+      Starts.erase(std::remove_if(Starts.begin(), Starts.end(),
+                                  [&](const TaskKey &Key) {
+                                    return Key.Step == static_cast<int32_t>(S);
+                                  }),
+                   Starts.end());
+      Drops.insert(Drops.end(), Fresh.begin(), Fresh.end());
+    }
+  for (const TaskKey &Key : Drops)
+    releaseTask(Key, "the endpoint may not be used any more");
+  for (const TaskKey &Key : Starts)
+    orderStart(Job, Key, *Job.find(Key));
+}
+
+void Owner::orderStart(JobState &Job, const TaskKey &Key, TaskState &Task) {
+  TimePoint Now = Clock.now();
+  EndpointState &Endpoint = Table[Task.Where];
+  StartOrder Order;
+  Order.Task = Key;
+  Order.Attempt = Task.Attempt;
+  Order.Payload = Job.Spec.Payload;
+  Order.LeaseUntilMs = leaseUntil(Endpoint, Now);
+  Order.Token = Endpoint.Token;
+  Order.Checkpoint = Task.Checkpoint;
+  if (policyOf(Job).NeedsAdvice) {
+    auto Advice = Advices.find({Key.Job, Key.Occurrence, Key.Step});
+    if (Advice != Advices.end()) {
+      auto Found = Advice->second.Allowed.find(Task.Where);
+      if (Found != Advice->second.Allowed.end())
+        Order.Ticket = Found->second.Text;
+    }
+  }
+  Task.IsOrdered = true;
+  Task.OrderToken = Order.Token;
+  Task.AssignedAt = Now;
+  Endpoint.RenewedAt = std::max(Endpoint.RenewedAt, Now);
+  Log.count("starts");
+  Workers.start(Endpoint.Info, Order,
+                guarded([this, Key, Attempt = Task.Attempt, Where = Task.Where,
+                         Token = Order.Token](const OrderResult &Result) {
+                  onStarted(Key, Attempt, Where, Token, Result);
+                }));
+}
+
+void Owner::onStarted(const TaskKey &Key, int64_t Attempt,
+                      const EndpointId &Where, int64_t Token,
+                      const OrderResult &Result) {
+  auto Found = Table.find(Where);
+  JobState *Job = jobOf(Key.Job);
+  TaskState *Task = Job == nullptr ? nullptr : Job->find(Key);
+  if (Found == Table.end() || Task == nullptr || Task->Attempt != Attempt ||
+      Task->Where != Where || Task->Phase != TaskPhase::Assigned)
+    return;
+  EndpointState &Endpoint = Found->second;
+  if (Result.Outcome == OrderOutcome::Done) {
+    Task->AnsweredAt = Clock.now();
+    Task->Phase = TaskPhase::Running;
+    return;
+  }
+  Log.count("orders_failed");
+  Log.event(
+      EventName::OrderFailed,
+      {{"job", Key.Job.str()},
+       {"task", nameOfTask(Key)},
+       {"attempt", std::to_string(Attempt)},
+       {"endpoint", Where.str()},
+       {"token", std::to_string(Token)},
+       {"outcome", std::string(nameOf(OrderOutcomeNames, Result.Outcome))}});
+  if (Result.Outcome == OrderOutcome::Unknown) {
+    // A renewal with a higher token makes the endpoint's list the truth.
+    if (Token == Endpoint.Token)
+      raiseToken(Endpoint);
+    return;
+  }
+  if (Result.Outcome == OrderOutcome::StaleToken && Token == Endpoint.Token)
+    return Hooks.Deposed("an endpoint has seen a higher token");
+  if (Result.Outcome == OrderOutcome::TicketRefused) {
+    auto Advice = Advices.find({Key.Job, Key.Occurrence, Key.Step});
+    if (Advice != Advices.end())
+      Advice->second.Allowed.erase(Where);
+  }
+  bool IsEndpointsFault = Result.Outcome == OrderOutcome::Unavailable ||
+                          Result.Outcome == OrderOutcome::OtherLife ||
+                          Result.Outcome == OrderOutcome::NoRoom;
+  if (IsEndpointsFault)
+    avoid(Endpoint, AvoidFirst);
+  Task->NotBefore =
+      Clock.now() +
+      (Result.Outcome == OrderOutcome::Invalid ? InvalidPause : RefusedPause);
+  releaseTask(Key, "the start was refused");
+}
+
+void Owner::orderStop(const TaskKey &Key, TaskState &Task) {
+  auto Found = Table.find(Task.Where);
+  if (Found == Table.end())
+    return;
+  Task.IsStopping = true;
+  Task.StopSentAt = Clock.now();
+  Log.count("stops");
+  Workers.stop(Found->second.Info, Key, Task.Attempt, Found->second.Token,
+               [](const OrderResult &) {
+                 // The renewals list the end, or the run that goes on.
+               });
+}
+
+void Owner::stopRuns(JobState &Job) {
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
+      for (size_t T = 0; T < Job.Occurrences[K].Steps[S].Tasks.size(); ++T) {
+        TaskState &Task = Job.Occurrences[K].Steps[S].Tasks[T];
+        TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
+                    static_cast<int32_t>(S), static_cast<int32_t>(T)};
+        bool MayRun = Task.Phase == TaskPhase::Assigned ||
+                      Task.Phase == TaskPhase::Running;
+        if (MayRun && Task.IsOrdered)
+          orderStop(Key, Task);
+        else if (MayRun)
+          releaseTask(Key, "the job has ended");
+      }
+}
+
+void Owner::stopStep(JobState &Job, const TaskKey &Member) {
+  StepState &Step = Job.stateOf(Member);
+  for (size_t T = 0; T < Step.Tasks.size(); ++T) {
+    TaskState &Task = Step.Tasks[T];
+    TaskKey Key = Member;
+    Key.Index = static_cast<int32_t>(T);
+    bool MayRun =
+        Task.Phase == TaskPhase::Assigned || Task.Phase == TaskPhase::Running;
+    if (MayRun && Task.IsOrdered && !Task.IsStopping)
+      orderStop(Key, Task);
+  }
+}
+
+void Owner::releaseTask(const TaskKey &Key, const char *Why) {
+  JobState *Job = jobOf(Key.Job);
+  TaskState *Task = Job->find(Key);
+  if (Task->Phase != TaskPhase::Assigned && Task->Phase != TaskPhase::Running)
+    return;
+  bool WasOrdered = Task->IsOrdered;
+  Log.event(EventName::RunLost, {{"job", Key.Job.str()},
+                                 {"task", nameOfTask(Key)},
+                                 {"attempt", std::to_string(Task->Attempt)},
+                                 {"endpoint", Task->Where.str()},
+                                 {"reason", Why}});
+  vacate(*Job, Key, Task->Where);
+  Job->release(Job->stateOf(Key), *Task);
+  if (Job->isEnded())
+    return;
+  if (Job->stepOf(Key).Gang && WasOrdered)
+    stopStep(*Job, Key);
+  Backlog.insert({Key.Job, Key.Occurrence, Key.Step});
+  requestPass();
+}
+
+void Owner::taskDone(JobState &Job, const TaskKey &Key) {
+  auto &Occurrence = Job.Occurrences[static_cast<size_t>(Key.Occurrence)];
+  auto Step = static_cast<size_t>(Key.Step);
+  // One end of a gang stands for all of its tasks.
+  std::vector<TaskKey> Members{Key};
+  if (Job.stepOf(Key).Gang)
+    for (int32_t T = 0; T < Job.stepOf(Key).Tasks; ++T)
+      if (T != Key.Index)
+        Members.push_back({Key.Job, Key.Occurrence, Key.Step, T});
+  for (const TaskKey &Member : Members) {
+    TaskState &Task = *Job.find(Member);
+    bool MayRun =
+        Task.Phase == TaskPhase::Assigned || Task.Phase == TaskPhase::Running;
+    if (MayRun)
+      vacate(Job, Member, Task.Where);
+    Job.complete(Occurrence, Step, Task);
+  }
+  if (Job.isEnded())
+    return;
+  markChanged(Job);
+  if (Job.allDone())
+    endJob(Job, JobStatus::Completed);
+  else
+    updateReady(Job);
+}
+
+void Owner::taskFailed(JobState &Job, const TaskKey &Key) {
+  const StepSpec &Spec = Job.stepOf(Key);
+  StepState &Step = Job.stateOf(Key);
+  TaskState &Task = *Job.find(Key);
+  // A gang fails as a whole, once for each attempt.
+  TaskState &Counted = Spec.Gang ? Step.Tasks.front() : Task;
+  if (!Spec.Gang || Step.FailedAttempt != Task.Attempt)
+    ++Counted.Failures;
+  Step.FailedAttempt = Task.Attempt;
+  int32_t Failures = Counted.Failures;
+  releaseTask(Key, "failed");
+  if (Job.isEnded())
+    return;
+  markChanged(Job);
+  if (!Spec.Service && Failures >= policyOf(Job).MaxAttempts)
+    endJob(Job, JobStatus::Failed);
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_pace.cpp
@@ -0,0 +1,93 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Above this share of its target a tail makes the disturbing tasks slower.
+constexpr double SlowDownAt = 0.85;
+/// Below this share they are given their processors back.
+constexpr double SpeedUpAt = 0.6;
+constexpr int32_t SlowDownPercent = 40; ///< Of the present pace.
+constexpr int32_t SpeedUpStep = 15;     ///< Percentage points.
+constexpr int32_t LowestPace = 10;      ///< Below it they are halted.
+/// A change shows in the tail after this time.
+constexpr Duration SettleDown{250};
+constexpr Duration SettleUp{1000};
+
+} // namespace
+
+void Owner::controlPace(EndpointState &Endpoint) {
+  if (Endpoint.OpportunisticTasks == 0)
+    return;
+  double Worst = 0;
+  std::vector<TaskKey> Fillers;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    JobState *Job = jobOf(Key.Job);
+    const TaskState &Task = *Job->find(Key);
+    const StepSpec &Step = Job->stepOf(Key);
+    if (Task.Phase != TaskPhase::Running || Job->isEnded())
+      continue;
+    if (Step.TailTarget.count() > 0)
+      Worst = std::max(Worst, static_cast<double>(Task.Figure) /
+                                  static_cast<double>(Step.TailTarget.count()));
+    if (Step.Opportunistic)
+      Fillers.push_back(Key);
+  }
+  TimePoint Now = Clock.now();
+  Duration Since = Now - Endpoint.PaceChangedAt;
+  int32_t Pace = Endpoint.FillPace;
+  if (Worst > SlowDownAt && Since > SettleDown)
+    Pace = Pace * SlowDownPercent / 100 < LowestPace
+               ? 0
+               : Pace * SlowDownPercent / 100;
+  else if (Worst < SpeedUpAt && Since > SettleUp)
+    Pace = std::min(100, Pace + SpeedUpStep);
+  if (Endpoint.ServingTasks == 0)
+    Pace = 100;
+  if (Pace != Endpoint.FillPace) {
+    Endpoint.FillPace = Pace;
+    Endpoint.PaceChangedAt = Now;
+    Log.event(EventName::TaskPaced,
+              {{"endpoint", Endpoint.Info.Id.str()},
+               {"percent", std::to_string(Pace)},
+               {"tail_of_target", std::to_string(Worst)},
+               {"tasks", std::to_string(Fillers.size())}});
+  }
+  for (const TaskKey &Key : Fillers) {
+    TaskState &Task = *jobOf(Key.Job)->find(Key);
+    if (Task.Pace == Pace)
+      continue;
+    int32_t Before = std::exchange(Task.Pace, Pace);
+    Workers.pace(Endpoint.Info, Key, Task.Attempt, Pace, Endpoint.Token,
+                 guarded([this, Key, Attempt = Task.Attempt, Pace,
+                          Before](const OrderResult &Result) {
+                   JobState *Job = jobOf(Key.Job);
+                   TaskState *Task = Job == nullptr ? nullptr : Job->find(Key);
+                   // An order without effect is repeated with the next list.
+                   if (Task != nullptr && Task->Attempt == Attempt &&
+                       Task->Pace == Pace &&
+                       Result.Outcome != OrderOutcome::Done)
+                     Task->Pace = Before;
+                 }));
+  }
+}
+
+void Owner::drainEndpoint(EndpointState &Endpoint) {
+  std::vector<TaskKey> Moved;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    const StepSpec &Step = jobOf(Key.Job)->stepOf(Key);
+    const TaskState &Task = *jobOf(Key.Job)->find(Key);
+    // What can neither resume nor serve elsewhere may still end here.
+    bool IsMoved = Step.Service || Step.Checkpoints;
+    if (IsMoved && Task.IsOrdered && !Task.IsStopping && !Step.Gang)
+      Moved.push_back(Key);
+  }
+  for (const TaskKey &Key : Moved)
+    orderStop(Key, *jobOf(Key.Job)->find(Key));
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -0,0 +1,327 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Weights of the score of an endpoint, in thousandths of a processor: a task
+/// takes that much fragmentation in exchange.
+constexpr double AwayFromDataWeight = 60000;
+constexpr double DisturbanceWeight = 200000;
+constexpr double SlownessWeight = 40000;
+
+/// A job is worth nothing after this multiple of its objective.
+constexpr int64_t WorthlessAfter = 3;
+
+/// What a task takes of its endpoint. An opportunistic task takes no
+/// processors that others could use.
+Resources takenBy(const StepSpec &Step) {
+  Resources Need = Step.Need;
+  if (Step.Opportunistic)
+    Need.MilliCpu = 0;
+  return Need;
+}
+
+} // namespace
+
+void Owner::requestPass() {
+  if (PassRequested || !IsLoaded)
+    return;
+  PassRequested = true;
+  Clock.after(PassDelay, guarded([this] {
+                PassRequested = false;
+                pass();
+              }));
+}
+
+void Owner::tick() {
+  Clock.after(TickInterval, guarded([this] { tick(); }));
+  updateDue();
+  removeEnded();
+  TimePoint Now = Clock.now();
+  for (auto &[Id, Endpoint] : Table)
+    noteSilence(Endpoint, Now);
+  for (auto It = Table.begin(); It != Table.end();) {
+    // Placeholders of a takeover that no discovery entry ever named.
+    bool IsEmpty = It->second.Info.Address.Port == 0 &&
+                   It->second.Tasks.empty() && !It->second.IsListed;
+    It = IsEmpty ? Table.erase(It) : std::next(It);
+  }
+  requestPass();
+}
+
+void Owner::updateDue() {
+  int64_t Wall = Clock.wallMillis();
+  for (const JobId &Id : Open) {
+    JobState &Job = *Jobs[Id];
+    if (Job.Spec.Repetitions > 0 && !Job.Occurrences.back().IsDue &&
+        Wall >= Job.Spec.FirstStartMs)
+      updateReady(Job);
+  }
+}
+
+void Owner::updateReady(JobState &Job) {
+  int64_t Wall = Clock.wallMillis();
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K) {
+    OccurrenceState &Occurrence = Job.Occurrences[K];
+    int64_t Due =
+        Job.Spec.FirstStartMs + static_cast<int64_t>(K) * Job.Spec.IntervalMs;
+    Occurrence.IsDue = Job.Spec.Repetitions == 0 || Wall >= Due;
+    if (!Occurrence.IsDue)
+      return;
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
+      if (Occurrence.Steps[S].Waiting > 0 && Job.isReady(Occurrence, S))
+        Backlog.insert(
+            {Job.Spec.Id, static_cast<int32_t>(K), static_cast<int32_t>(S)});
+  }
+  requestPass();
+}
+
+std::vector<Owner::Candidate> Owner::candidates() {
+  std::vector<Candidate> Result;
+  TimePoint Now = Clock.now();
+  for (auto It = Backlog.begin(); It != Backlog.end();) {
+    JobState *Job = jobOf(It->Job);
+    bool IsWaiting = Job != nullptr && !Job->isEnded() &&
+                     Job->Occurrences[static_cast<size_t>(It->Occurrence)]
+                             .Steps[static_cast<size_t>(It->Step)]
+                             .Waiting > 0;
+    if (!IsWaiting) {
+      It = Backlog.erase(It);
+      continue;
+    }
+    Candidate Next{Job, *It, policyOf(*Job).Priority, false, Job->Objective};
+    Duration Allowed = Job->Objective - Now +
+                       Duration(Clock.wallMillis() - Job->Spec.AcceptedMs);
+    bool IsService = Job->Spec.Steps[static_cast<size_t>(It->Step)].Service;
+    Next.IsHopeless =
+        !IsService && Now > Job->Objective + Allowed * (WorthlessAfter - 1);
+    Result.push_back(Next);
+    ++It;
+  }
+  std::sort(Result.begin(), Result.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return std::tie(A.IsHopeless, A.Priority, A.Objective, A.Key) <
+                     std::tie(B.IsHopeless, B.Priority, B.Objective, B.Key);
+            });
+  return Result;
+}
+
+void Owner::pass() {
+  for (const Candidate &Next : candidates())
+    placeStep(Next);
+  flush();
+}
+
+void Owner::placeStep(const Candidate &Next) {
+  JobState &Job = *Next.Job;
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Next.Key.Step)];
+  StepState &State =
+      Job.stateOf({Next.Key.Job, Next.Key.Occurrence, Next.Key.Step, 0});
+  if (!fitsTeam(Job, Step.Need))
+    return;
+  StepAdvice *Advice = adviceFor(Job, Next.Key);
+  if (Step.Gang)
+    return placeGang(Next, State, Advice);
+  TimePoint Now = Clock.now();
+  std::string Places;
+  int32_t Placed = 0;
+  int32_t Missing = 0;
+  for (size_t T = 0; T < State.Tasks.size() && State.Waiting > 0; ++T) {
+    TaskState &Task = State.Tasks[T];
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
+      continue;
+    if (!fitsTeam(Job, Step.Need))
+      break;
+    EndpointState *Endpoint = choose(Job, Step, Next.Key, Advice);
+    if (Endpoint == nullptr) {
+      Missing = State.Waiting;
+      break;
+    }
+    TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step,
+                static_cast<int32_t>(T)};
+    Job.assign(State, Task, Endpoint->Info.Id, Task.Attempt + 1);
+    Task.AssignedAt = Now;
+    Task.StoredWith = Job.Version + 1;
+    occupy(*Endpoint, Job, Key);
+    ++Placed;
+    Places += (Places.empty() ? "" : ",") + std::to_string(T) + "@" +
+              Endpoint->Info.Id.str();
+  }
+  if (Placed > 0) {
+    markChanged(Job);
+    Log.event(EventName::StepPlaced,
+              {{"job", Next.Key.Job.str()},
+               {"step", std::to_string(Next.Key.Occurrence) + '.' +
+                            std::to_string(Next.Key.Step)},
+               {"placed", std::to_string(Placed)},
+               {"waiting", std::to_string(State.Waiting)},
+               {"config", std::to_string(Hooks.Current->Config.Version)},
+               {"places", Places}});
+  }
+  if (Missing > 0 && Advice != nullptr)
+    askAdvice(Job, Next.Key, *Advice, Missing);
+}
+
+void Owner::placeGang(const Candidate &Next, StepState &State,
+                      StepAdvice *Advice) {
+  JobState &Job = *Next.Job;
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Next.Key.Step)];
+  // The former attempt must have ended everywhere.
+  if (State.Waiting < Step.Tasks)
+    return;
+  Resources All = Step.Need;
+  int64_t Attempt = 0;
+  TimePoint Now = Clock.now();
+  for (const TaskState &Task : State.Tasks) {
+    Attempt = std::max(Attempt, Task.Attempt);
+    if (Task.NotBefore > Now)
+      return;
+  }
+  for (int32_t T = 1; T < Step.Tasks; ++T)
+    All += Step.Need;
+  if (!fitsTeam(Job, All))
+    return;
+  std::string Checkpoint;
+  for (const TaskState &Task : State.Tasks)
+    Checkpoint = std::max(Checkpoint, Task.Checkpoint);
+  std::vector<std::pair<TaskKey, EndpointState *>> Places;
+  for (int32_t T = 0; T < Step.Tasks; ++T) {
+    EndpointState *Endpoint = choose(Job, Step, Next.Key, Advice);
+    if (Endpoint == nullptr)
+      break;
+    TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step, T};
+    occupy(*Endpoint, Job, Key);
+    Places.emplace_back(Key, Endpoint);
+  }
+  if (Places.size() < State.Tasks.size()) {
+    for (auto &[Key, Endpoint] : Places)
+      vacate(Job, Key, Endpoint->Info.Id);
+    if (Advice != nullptr)
+      askAdvice(Job, Next.Key, *Advice,
+                Step.Tasks - static_cast<int32_t>(Places.size()));
+    return;
+  }
+  for (auto &[Key, Endpoint] : Places) {
+    TaskState &Task = *Job.find(Key);
+    Job.assign(State, Task, Endpoint->Info.Id, Attempt + 1);
+    Task.Checkpoint = Checkpoint;
+    Task.AssignedAt = Now;
+    Task.StoredWith = Job.Version + 1;
+  }
+  markChanged(Job);
+  Log.event(EventName::GangReserved,
+            {{"job", Next.Key.Job.str()},
+             {"step", std::to_string(Next.Key.Step)},
+             {"attempt", std::to_string(Attempt + 1)},
+             {"tasks", std::to_string(Places.size())}});
+}
+
+EndpointState *Owner::choose(const JobState &Job, const StepSpec &Step,
+                             const StepKey &Key, StepAdvice *Advice) {
+  Resources Need = takenBy(Step);
+  EndpointState *Best = nullptr;
+  double BestScore = std::numeric_limits<double>::max();
+  auto Consider = [&](EndpointState &Endpoint) {
+    if (!mayStartOn(Endpoint, Job) || !fits(Need, Endpoint.room()))
+      return;
+    if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
+      return;
+    if (Step.Opportunistic &&
+        Endpoint.room().MilliCpu - Endpoint.OpportunisticCpu <
+            Step.Need.MilliCpu)
+      return;
+    if (Step.MaxPerEndpoint > 0 &&
+        countOn(Endpoint, Key) >= Step.MaxPerEndpoint)
+      return;
+    double Score = score(Endpoint, Step);
+    if (Score >= BestScore)
+      return;
+    BestScore = Score;
+    Best = &Endpoint;
+  };
+  if (Advice == nullptr) {
+    for (auto &[Id, Endpoint] : Table)
+      Consider(Endpoint);
+    return Best;
+  }
+  TimePoint Now = Clock.now();
+  for (const auto &[Id, Ticket] : Advice->Allowed) {
+    auto Found = Table.find(Id);
+    if (Found != Table.end() && Ticket.ValidUntil > Now)
+      Consider(Found->second);
+  }
+  return Best;
+}
+
+double Owner::score(const EndpointState &Endpoint, const StepSpec &Step) const {
+  // Best fit: what is left over should be small.
+  auto Score =
+      static_cast<double>(Endpoint.room().MilliCpu - Endpoint.OpportunisticCpu);
+  // An opportunistic task runs on what is left: the more, the better.
+  if (Step.Opportunistic)
+    Score = -Score;
+  if (!Step.DataRack.empty() && Endpoint.rack() != Step.DataRack)
+    Score += AwayFromDataWeight;
+  if (Step.Opportunistic && Endpoint.ServingTasks > 0)
+    Score += DisturbanceWeight;
+  if (Step.TailTarget.count() > 0 && Endpoint.OpportunisticTasks > 0)
+    Score += DisturbanceWeight;
+  return Score + SlownessWeight * (Endpoint.Slowness - 1);
+}
+
+int32_t Owner::countOn(const EndpointState &Endpoint,
+                       const StepKey &Key) const {
+  return static_cast<int32_t>(std::count_if(
+      Endpoint.Tasks.begin(), Endpoint.Tasks.end(), [&](const TaskKey &Task) {
+        return Task.Job == Key.Job && Task.Step == Key.Step &&
+               Task.Occurrence == Key.Occurrence;
+      }));
+}
+
+bool Owner::fitsTeam(const JobState &Job, const Resources &Need) const {
+  const Team *Owning = Hooks.Current->Config.teamNamed(Job.Spec.Team);
+  if (Owning == nullptr)
+    return true;
+  Resources Total = Need;
+  auto Used = TeamUsage.find(Job.Spec.Team);
+  if (Used != TeamUsage.end())
+    Total += Used->second;
+  for (int64_t Resources::*Field : ResourceFields)
+    if (Owning->Limit.*Field > 0 && Total.*Field > Owning->Limit.*Field)
+      return false;
+  return true;
+}
+
+void Owner::occupy(EndpointState &Endpoint, const JobState &Job,
+                   const TaskKey &Key) {
+  const StepSpec &Step = Job.stepOf(Key);
+  if (!Endpoint.Tasks.insert(Key).second)
+    return;
+  Endpoint.Used += takenBy(Step);
+  TeamUsage[Job.Spec.Team] += Step.Need;
+  Endpoint.ServingTasks += Step.TailTarget.count() > 0 ? 1 : 0;
+  Endpoint.OpportunisticTasks += Step.Opportunistic ? 1 : 0;
+  Endpoint.OpportunisticCpu += Step.Opportunistic ? Step.Need.MilliCpu : 0;
+}
+
+void Owner::vacate(const JobState &Job, const TaskKey &Key,
+                   const EndpointId &Where) {
+  auto Found = Table.find(Where);
+  if (Found == Table.end() || Found->second.Tasks.erase(Key) == 0)
+    return;
+  const StepSpec &Step = Job.stepOf(Key);
+  EndpointState &Endpoint = Found->second;
+  Endpoint.Used -= takenBy(Step);
+  TeamUsage[Job.Spec.Team] -= Step.Need;
+  Endpoint.ServingTasks -= Step.TailTarget.count() > 0 ? 1 : 0;
+  Endpoint.OpportunisticTasks -= Step.Opportunistic ? 1 : 0;
+  Endpoint.OpportunisticCpu -= Step.Opportunistic ? Step.Need.MilliCpu : 0;
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -0,0 +1,279 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+constexpr std::array<EnumName<RunEnd>, 6> EndNames = {{
+    {RunEnd::Done, "done"},
+    {RunEnd::Failed, "failed"},
+    {RunEnd::Stopped, "stopped"},
+    {RunEnd::Lapsed, "lapsed"},
+    {RunEnd::Broken, "broken"},
+    {RunEnd::Alone, "alone"},
+}};
+
+std::string nameOfTask(const TaskKey &Key) {
+  return std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step) + '.' +
+         std::to_string(Key.Index);
+}
+
+} // namespace
+
+int64_t Owner::leaseUntil(const EndpointState &Endpoint, TimePoint Now) const {
+  int64_t Clock = Endpoint.clockAt(Now);
+  return Clock == 0 ? 0 : Clock + Options.MaxTaskLease.count();
+}
+
+void Owner::renewLater(const EndpointId &Id, Duration Delay) {
+  Clock.after(Delay, guarded([this, Id] { renew(Id, true); }));
+}
+
+void Owner::renew(const EndpointId &Id, bool Waits) {
+  auto Found = Table.find(Id);
+  if (Found == Table.end())
+    return;
+  EndpointState &Endpoint = Found->second;
+  if (Waits && Endpoint.HasWaitingRenewal)
+    return;
+  TimePoint Now = Clock.now();
+  bool IsUnused =
+      !Endpoint.IsListed && Endpoint.Tasks.empty() && Endpoint.Strays.empty();
+  if (IsUnused && Waits && Now - Endpoint.UnlistedSince > SilenceLimit) {
+    Table.erase(Found);
+    return;
+  }
+  bool IsSilent = Endpoint.AnsweredAt == TimePoint() ||
+                  Now - Endpoint.AnsweredAt > SilenceLimit;
+  bool MayExtend = Now - Hooks.ConfirmedAt() < FormerOwnerLimit;
+  RenewOrder Order;
+  Order.Token = Endpoint.Token;
+  Order.AcknowledgedEnd = Endpoint.StoredEnd;
+  if (!IsSilent && MayExtend) {
+    Order.LeaseUntilMs = leaseUntil(Endpoint, Now);
+    Endpoint.RenewedAt = std::max(Endpoint.RenewedAt, Now);
+  }
+  bool IsShared = Endpoint.ServingTasks > 0 && Endpoint.OpportunisticTasks > 0;
+  bool NeedsFence = Endpoint.FencedToken < Endpoint.Token;
+  if (Waits && !IsSilent && !NeedsFence)
+    Order.Wait = IsShared ? RenewWaitPaced : RenewWait;
+  Endpoint.HasWaitingRenewal |= Waits;
+  uint64_t Number = ++Endpoint.RenewalsSent;
+  Log.count("renewals");
+  Workers.renew(Endpoint.Info, Order,
+                guarded([this, Id, Number, Token = Order.Token, Now,
+                         Waits](RenewResult Result) {
+                  onRenewed(Id, std::move(Result), Number, Token, Now, Waits);
+                }));
+}
+
+void Owner::onRenewed(const EndpointId &Id, RenewResult Result, uint64_t Number,
+                      int64_t Token, TimePoint Sent, bool Waited) {
+  auto Found = Table.find(Id);
+  if (Found == Table.end())
+    return;
+  EndpointState &Endpoint = Found->second;
+  TimePoint Now = Clock.now();
+  if (Waited)
+    Endpoint.HasWaitingRenewal = false;
+  if (Result.Outcome != OrderOutcome::Done) {
+    Log.count("renewals_failed");
+    if (Result.Outcome == OrderOutcome::StaleToken && Token == Endpoint.Token)
+      return Hooks.Deposed("an endpoint has seen a higher token");
+    noteSilence(Endpoint, Now);
+    if (Waited)
+      renewLater(Id, RenewRetry);
+    return;
+  }
+  bool IsFirst = Endpoint.FencedToken == 0;
+  // An older list says nothing that the newer one did not.
+  if (Number > Endpoint.LatestAnswered) {
+    Endpoint.LatestAnswered = Number;
+    Endpoint.AnsweredAt = Now;
+    Endpoint.ClockMs = Result.ClockMs;
+    Endpoint.ClockReadAt = Sent;
+    Endpoint.FencedToken = std::max(Endpoint.FencedToken, Token);
+    bool SameLife = noteLife(Endpoint, Result);
+    noteEnds(Endpoint, Result.Ends);
+    noteRuns(Endpoint, Result, Token, Sent);
+    if (!SameLife)
+      raiseToken(Endpoint);
+    controlPace(Endpoint);
+  }
+  if (Waited)
+    renewLater(Id, IsFirst ? Duration(0) : RenewPause);
+}
+
+bool Owner::noteLife(EndpointState &Endpoint, const RenewResult &Result) {
+  int64_t Before = std::exchange(Endpoint.BornMs, Result.BornMs);
+  if (Before == 0 || Before == Result.BornMs)
+    return true;
+  Log.event(EventName::EndpointReborn,
+            {{"endpoint", Endpoint.Info.Id.str()},
+             {"before", std::to_string(Before)},
+             {"now", std::to_string(Result.BornMs)},
+             {"tasks", std::to_string(Endpoint.Tasks.size())}});
+  Endpoint.SeenEnd = 0;
+  Endpoint.StoredEnd = 0;
+  Endpoint.Ends.clear();
+  Endpoint.Strays.clear();
+  std::vector<TaskKey> Lost;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    const TaskState *Task = jobOf(Key.Job)->find(Key);
+    // An unanswered order may still reach the new life; the next renewal with
+    // a higher token decides.
+    if (Task->AnsweredAt != TimePoint())
+      Lost.push_back(Key);
+  }
+  for (const TaskKey &Key : Lost)
+    releaseTask(Key, "the endpoint restarted");
+  return false;
+}
+
+void Owner::noteEnds(EndpointState &Endpoint, const std::vector<EndRow> &Ends) {
+  for (const EndRow &End : Ends) {
+    if (End.Number <= Endpoint.SeenEnd)
+      continue;
+    Endpoint.SeenEnd = End.Number;
+    noteEnd(Endpoint, End);
+    JobState *Job = jobOf(End.Task.Job);
+    Endpoint.Ends.push_back(
+        {End.Number, End.Task.Job, Job == nullptr ? 0 : Job->Version});
+  }
+  // What needs no write is acknowledged with the next renewal.
+  while (!Endpoint.Ends.empty()) {
+    JobState *Job = jobOf(Endpoint.Ends.front().Job);
+    if (Job != nullptr && Job->StoredVersion < Endpoint.Ends.front().Version)
+      break;
+    Endpoint.StoredEnd = Endpoint.Ends.front().Number;
+    Endpoint.Ends.pop_front();
+  }
+}
+
+void Owner::noteEnd(EndpointState &Endpoint, const EndRow &End) {
+  Endpoint.Strays.erase({End.Task, End.Attempt});
+  JobState *Job = jobOf(End.Task.Job);
+  TaskState *Task = Job == nullptr ? nullptr : Job->find(End.Task);
+  Log.event(EventName::RunEnded,
+            {{"job", End.Task.Job.str()},
+             {"task", nameOfTask(End.Task)},
+             {"attempt", std::to_string(End.Attempt)},
+             {"endpoint", Endpoint.Info.Id.str()},
+             {"how", std::string(nameOf(EndNames, End.How))},
+             {"number", std::to_string(End.Number)}});
+  if (Task == nullptr)
+    return;
+  bool IsCurrent =
+      Task->Attempt == End.Attempt && Task->Where == Endpoint.Info.Id &&
+      (Task->Phase == TaskPhase::Assigned || Task->Phase == TaskPhase::Running);
+  if (!End.Checkpoint.empty() && Task->Attempt <= End.Attempt)
+    Task->Checkpoint = End.Checkpoint;
+  if (End.How == RunEnd::Done) {
+    Endpoint.FailuresInRow = 0;
+    Endpoint.AvoidNext = Duration(0);
+    // Also the end of an earlier run that was taken for lost counts.
+    return taskDone(*Job, End.Task);
+  }
+  if (!IsCurrent)
+    return;
+  if (End.How != RunEnd::Failed)
+    return releaseTask(End.Task,
+                       std::string(nameOf(EndNames, End.How)).c_str());
+  if (++Endpoint.FailuresInRow >= FailuresToAvoid)
+    avoid(Endpoint, AvoidFirst * 2);
+  taskFailed(*Job, End.Task);
+}
+
+void Owner::noteRuns(EndpointState &Endpoint, const RenewResult &Result,
+                     int64_t Token, TimePoint Sent) {
+  std::unordered_set<TaskKey> Listed;
+  TimePoint Now = Clock.now();
+  for (const RunRow &Row : Result.Running) {
+    JobState *Job = jobOf(Row.Task.Job);
+    TaskState *Task = Job == nullptr ? nullptr : Job->find(Row.Task);
+    bool IsOurs = Task != nullptr && Task->Attempt == Row.Attempt &&
+                  Task->Where == Endpoint.Info.Id &&
+                  (Task->Phase == TaskPhase::Assigned ||
+                   Task->Phase == TaskPhase::Running);
+    if (!IsOurs) {
+      noteStray(Endpoint, Row);
+      continue;
+    }
+    Listed.insert(Row.Task);
+    Task->Phase = TaskPhase::Running;
+    if (Task->AnsweredAt == TimePoint())
+      Task->AnsweredAt = Now;
+    Task->Percent = Row.Percent;
+    Task->Figure = Row.Figure;
+    if (!Row.Checkpoint.empty())
+      Task->Checkpoint = Row.Checkpoint;
+    bool MustStop = Job->isEnded() || Task->IsStopping;
+    if (MustStop && Now - Task->StopSentAt > StopRetry)
+      orderStop(Row.Task, *Task);
+  }
+  for (auto It = Endpoint.Strays.begin(); It != Endpoint.Strays.end();)
+    It = It->second < Sent ? Endpoint.Strays.erase(It) : std::next(It);
+  if (Result.Ends.size() >= EndsPerAnswer)
+    return;
+  std::vector<TaskKey> Gone;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    const TaskState &Task = *jobOf(Key.Job)->find(Key);
+    if (Listed.count(Key) != 0 || !Task.IsOrdered)
+      continue;
+    bool WasThere = Task.AnsweredAt != TimePoint() && Task.AnsweredAt < Sent;
+    bool IsFenced = Task.OrderToken < Token;
+    if (WasThere || IsFenced)
+      Gone.push_back(Key);
+  }
+  for (const TaskKey &Key : Gone)
+    releaseTask(Key, "not listed");
+}
+
+void Owner::noteStray(EndpointState &Endpoint, const RunRow &Row) {
+  TimePoint Now = Clock.now();
+  auto Key = std::make_pair(Row.Task, Row.Attempt);
+  bool IsNew = Endpoint.Strays.count(Key) == 0;
+  Endpoint.Strays[Key] = Now;
+  if (IsNew)
+    Log.event(EventName::RunStray, {{"job", Row.Task.Job.str()},
+                                    {"task", nameOfTask(Row.Task)},
+                                    {"attempt", std::to_string(Row.Attempt)},
+                                    {"endpoint", Endpoint.Info.Id.str()}});
+  Workers.stop(Endpoint.Info, Row.Task, Row.Attempt, Endpoint.Token,
+               [](const OrderResult &) {});
+}
+
+void Owner::noteSilence(EndpointState &Endpoint, TimePoint Now) {
+  bool IsSilent = Endpoint.AnsweredAt == TimePoint() ||
+                  Now - Endpoint.AnsweredAt > SilenceLimit;
+  TimePoint LeaseEnd =
+      Endpoint.RenewedAt + withDrift(Options.MaxTaskLease) + LeaseSlack;
+  if (!IsSilent || Endpoint.Tasks.empty() || Now < LeaseEnd)
+    return;
+  std::vector<TaskKey> Lapsed;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    const TaskState &Task = *jobOf(Key.Job)->find(Key);
+    bool MayComeLate = Task.AnsweredAt == TimePoint() &&
+                       Now - Task.AssignedAt < LateOrderLimit;
+    if (Task.IsOrdered && !MayComeLate)
+      Lapsed.push_back(Key);
+  }
+  if (Lapsed.empty())
+    return;
+  Log.event(EventName::EndpointLost,
+            {{"endpoint", Endpoint.Info.Id.str()},
+             {"silent_ms", std::to_string((Now - Endpoint.AnsweredAt).count())},
+             {"tasks", std::to_string(Lapsed.size())}});
+  for (const TaskKey &Key : Lapsed)
+    releaseTask(Key, "the lease has ended");
+}
+
+void Owner::raiseToken(EndpointState &Endpoint) {
+  ++Endpoint.Token;
+  renew(Endpoint.Info.Id, false);
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -0,0 +1,139 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/keys.hpp"
+#include "teaselwalk/cell/owner.hpp"
+
+namespace teaselwalk::cell {
+namespace {
+
+/// A write holds at most about this many bytes of records.
+constexpr size_t MaxWriteBytes = 300000;
+
+constexpr std::array<EnumName<JobStatus>, 5> StatusNames = {{
+    {JobStatus::Queued, "queued"},
+    {JobStatus::Running, "running"},
+    {JobStatus::Completed, "completed"},
+    {JobStatus::Failed, "failed"},
+    {JobStatus::Cancelled, "cancelled"},
+}};
+
+} // namespace
+
+void Owner::markChanged(JobState &Job) {
+  ++Job.Version;
+  if (InChanged.insert(Job.Spec.Id).second)
+    Changed.push_back(Job.Spec.Id);
+  requestPass();
+}
+
+void Owner::flush() {
+  if (Writes.isBusy() || Changed.empty())
+    return;
+  StoreTransaction Change;
+  std::vector<std::pair<JobId, int64_t>> Written;
+  size_t Bytes = 0;
+  while (!Changed.empty() && Change.Puts.size() < Journal::Capacity &&
+         Bytes < MaxWriteBytes) {
+    JobId Id = std::move(Changed.front());
+    Changed.pop_front();
+    InChanged.erase(Id);
+    JobState *Job = jobOf(Id);
+    if (Job == nullptr)
+      continue;
+    Change.Puts.push_back({stateKey(Id), Job->encode(), 0});
+    Bytes += Change.Puts.back().Value.size();
+    Written.emplace_back(Id, Job->Version);
+  }
+  Log.count("journal_writes");
+  Log.count("journal_records", static_cast<int64_t>(Written.size()));
+  Writes.commit(std::move(Change), guarded([this, Written](bool IsDone) {
+                  if (!IsDone)
+                    return Hooks.Deposed("another process holds the guard");
+                  onFlushed(Written);
+                }));
+}
+
+void Owner::onFlushed(const std::vector<std::pair<JobId, int64_t>> &Written) {
+  for (const auto &[Id, Version] : Written) {
+    JobState *Job = jobOf(Id);
+    if (Job == nullptr)
+      continue;
+    Job->StoredVersion = Version;
+    if (Version == Job->Version)
+      Job->StoredStatus = Job->Status;
+    orderAssigned(*Job);
+  }
+  for (auto &[Id, Endpoint] : Table)
+    while (!Endpoint.Ends.empty()) {
+      const UnacknowledgedEnd &End = Endpoint.Ends.front();
+      JobState *Job = jobOf(End.Job);
+      if (Job != nullptr && Job->StoredVersion < End.Version)
+        break;
+      Endpoint.StoredEnd = End.Number;
+      Endpoint.Ends.pop_front();
+    }
+  if (!Changed.empty())
+    requestPass();
+}
+
+void Owner::endJob(JobState &Job, JobStatus Status) {
+  if (Job.isEnded())
+    return;
+  Job.Status = Status;
+  Job.EndedMs = Clock.wallMillis();
+  Open.erase(Job.Spec.Id);
+  ToRemove.push_back(Job.Spec.Id);
+  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+      StepKey Key{Job.Spec.Id, static_cast<int32_t>(K),
+                  static_cast<int32_t>(S)};
+      Backlog.erase(Key);
+      Advices.erase(Key);
+    }
+  Log.event(
+      EventName::JobFinished,
+      {{"job", Job.Spec.Id.str()},
+       {"status", std::string(nameOf(StatusNames, Status))},
+       {"age_ms", std::to_string(Clock.wallMillis() - Job.Spec.AcceptedMs)},
+       {"late_ms", std::to_string((Clock.now() - Job.Objective).count())}});
+  markChanged(Job);
+  stopRuns(Job);
+}
+
+std::optional<Owner::JobView> Owner::find(const JobId &Id) const {
+  auto Found = Jobs.find(Id);
+  if (Found == Jobs.end())
+    return std::nullopt;
+  const JobState &Job = *Found->second;
+  JobView View;
+  View.Queue = Job.Spec.Queue;
+  View.Team = Job.Spec.Team;
+  View.Status = Job.StoredStatus;
+  bool IsOpen = Job.StoredStatus == JobStatus::Queued ||
+                Job.StoredStatus == JobStatus::Running;
+  if (IsOpen)
+    View.Status = Job.IsStarted ? JobStatus::Running : JobStatus::Queued;
+  return View;
+}
+
+int64_t Owner::pending(const std::string &Queue) const {
+  int64_t Count = 0;
+  for (const JobId &Id : Open) {
+    const JobState &Job = *Jobs.at(Id);
+    if (Job.Spec.Queue == Queue && !Job.IsStarted)
+      ++Count;
+  }
+  return Count;
+}
+
+JobState *Owner::jobOf(const JobId &Id) {
+  auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : Found->second.get();
+}
+
+const QueuePolicy &Owner::policyOf(const JobState &Job) const {
+  const Queue *Configured = Hooks.Current->Config.queueNamed(Job.Spec.Queue);
+  return Configured != nullptr ? Configured->Policy : Job.Spec.Policy;
+}
+
+} // namespace teaselwalk::cell
--- /dev/null
+++ b/src/teaselwalk/cell/presence.cpp
@@ -0,0 +1,83 @@
+#include "teaselwalk/cell/presence.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselwalk::cell {
+namespace {
+
+constexpr Duration PresenceLease{4000};
+constexpr Duration RenewInterval{1300};
+constexpr Duration RetryPause{500};
+constexpr Duration CallTimeout{1000};
+
+} // namespace
+
+void Presence::later(Duration Delay, void (Presence::*Step)()) {
+  Clock.after(Delay, [this, Step, Token = std::weak_ptr<char>(Alive)] {
+    if (!Token.expired() && !Stopped)
+      (this->*Step)();
+  });
+}
+
+void Presence::grant() {
+  Target.grantLease(
+      PresenceLease, CallTimeout,
+      [this, Token = std::weak_ptr<char>(Alive)](const LeaseResult &Result) {
+        if (Token.expired() || Stopped)
+          return;
+        if (Result.Outcome != StoreOutcome::Done)
+          return later(RetryPause, &Presence::grant);
+        write(Result.Lease);
+      });
+}
+
+void Presence::write(int64_t NewLease) {
+  StoreTransaction Change;
+  Change.Puts = {{Key, Value, NewLease}};
+  Target.commit(Change, CallTimeout,
+                [this, NewLease, Token = std::weak_ptr<char>(Alive)](
+                    const CommitResult &Result) {
+                  if (Token.expired() || Stopped)
+                    return;
+                  // A write without an answer shows at the next renewal.
+                  if (Result.Outcome != StoreOutcome::Done)
+                    return later(RetryPause, &Presence::grant);
+                  Lease = NewLease;
+                  later(RenewInterval, &Presence::renew);
+                });
+}
+
+void Presence::renew() {
+  Target.renewLease(
+      Lease, CallTimeout,
+      [this, Token = std::weak_ptr<char>(Alive)](const LeaseResult &Result) {
+        if (Token.expired() || Stopped)
+          return;
+        if (Result.Outcome == StoreOutcome::NotFound)
+          return grant();
+        later(RenewInterval, &Presence::renew);
+      });
+}
+
+void Presence::stop() {
+  Stopped = true;
+  if (Lease != 0)
+    Target.endLease(Lease, CallTimeout, [](const LeaseResult &) {});
+}
+
+protocol::Address decodePresence(const std::string &Text) {
+  try {
+    nlohmann::json Document = nlohmann::json::parse(Text);
+    return {Document.at("ip"), Document.at("port")};
+  } catch (const nlohmann::json::exception &Failure) {
+    throw Error(std::string("presence: ") + Failure.what());
+  }
+}
+
+std::string encodePresence(const protocol::Address &Address) {
+  return nlohmann::json{{"ip", Address.Ip}, {"port", Address.Port}}.dump();
+}
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cli/command_rows.hpp
+++ b/src/teaselwalk/cli/command_rows.hpp
@@ -2,6 +2,8 @@
 
 #include "teaselwalk/cli/command.hpp"
 
+#include <csignal>
+
 /// The rows of the command table, each defined in the file of its command.
 namespace teaselwalk::cli {
 
@@ -16,5 +18,9 @@
 extern const Command CancelCommand;
 extern const Command KeyCommand;
 extern const Command TimelineCommand;
+extern const Command NodeCommand;
+
+/// Blocks the signals that end the process in all threads started after this.
+sigset_t blockStopSignals();
 
 } // namespace teaselwalk::cli
--- a/src/teaselwalk/cli/commands.cpp
+++ b/src/teaselwalk/cli/commands.cpp
@@ -6,9 +6,9 @@
 
 const std::vector<Command> &commands() {
   static const std::vector<Command> Table = {
-      ServeCommand,  CheckCommand,  ApplyCommand,  KeyCommand,
-      SubmitCommand, StatusCommand, CancelCommand, TimelineCommand,
-      FakeCommand,   LocalCommand,  BenchCommand,
+      ServeCommand,    NodeCommand,   CheckCommand,  ApplyCommand,
+      KeyCommand,      SubmitCommand, StatusCommand, CancelCommand,
+      TimelineCommand, FakeCommand,   LocalCommand,  BenchCommand,
   };
   return Table;
 }
--- /dev/null
+++ b/src/teaselwalk/cli/node_command.cpp
@@ -0,0 +1,67 @@
+#include "command_rows.hpp"
+
+#include "platform/boot_file.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/node/process.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace teaselwalk::cli {
+namespace {
+
+constexpr const char *Usage =
+    R"(Run an entry process on the users' platform until SIGTERM or SIGINT.
+
+Usage:
+  teaselwalk node [--settings FILE]
+  teaselwalk node --help
+
+Options:
+  --settings FILE   The platform's settings file. Default: the file that the
+                    platform names in the environment.
+)";
+
+/// Of the time between SIGTERM and SIGKILL, kept for the exit itself.
+constexpr Duration ExitTime{800};
+
+std::string settingsFile(const Arguments &Args) {
+  if (Args.at("--settings"))
+    return Args.at("--settings").asString();
+  const char *Named = std::getenv(adapter::SettingsVariable);
+  if (Named == nullptr)
+    throw InvalidInput("--settings", "no settings file is named");
+  return Named;
+}
+
+node::NodeSettings load(const std::string &File) {
+  std::ifstream In(File);
+  if (!In)
+    throw InvalidInput(File, "cannot be read");
+  return adapter::decodeSettings(
+      std::string(std::istreambuf_iterator<char>(In), {}));
+}
+
+int run(const Arguments &Args) {
+  std::string File = settingsFile(Args);
+  node::NodeSettings Settings = load(File);
+  sigset_t Signals = blockStopSignals();
+  sigaddset(&Signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  node::Process Running(Settings);
+  int Received = SIGHUP;
+  while (Received == SIGHUP)
+    sigwait(&Signals, &Received);
+  Duration Limit = Settings.Limits.GracePeriod - ExitTime;
+  return Running.drain(Limit) ? ExitOk : ExitFailure;
+}
+
+} // namespace
+
+const Command NodeCommand = {"node", Usage, run};
+
+} // namespace teaselwalk::cli
--- a/src/teaselwalk/cli/serve_command.cpp
+++ b/src/teaselwalk/cli/serve_command.cpp
@@ -37,16 +37,6 @@
     throw Error("cannot write " + File);
 }
 
-/// Blocks the signals that end the process in all threads started after this.
-sigset_t blockStopSignals() {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  return Signals;
-}
-
 int run(const Arguments &Args) {
   std::string File = Args.at("--settings").asString();
   std::ifstream In(File);
@@ -69,6 +59,15 @@
 
 } // namespace
 
+sigset_t blockStopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
 const Command ServeCommand = {"serve", Usage, run};
 
 } // namespace teaselwalk::cli
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -41,6 +41,8 @@
     Out.set(bhttp::field::authorization, "Bearer " + Message.Bearer);
   if (!Message.RequestId.empty())
     Out.set("X-Request-Id", Message.RequestId);
+  for (const auto &[Name, Value] : Message.Headers)
+    Out.set(Name, Value);
   Out.keep_alive(true);
   Out.body() = Message.Body;
   Out.prepare_payload();
@@ -96,10 +98,12 @@
     if (Released)
       return;
     Peer &Target = Peers[At];
-    if (!Target.Idle.empty()) {
+    while (!Target.Idle.empty()) {
       std::shared_ptr<Connection> Link = std::move(Target.Idle.back());
       Target.Idle.pop_back();
-      return transmit(At, Link, Job);
+      if (!isClosedByPeer(*Link))
+        return transmit(At, Link, Job);
+      --Target.Open;
     }
     if (Target.Open < Options.MaxConnectionsPerPeer)
       return connect(At, Job);
@@ -139,7 +143,19 @@
   asio::io_context Context{1};
 
 private:
-  static constexpr Duration SweepInterval{20};
+  /// A waiting request ends at most this much after its deadline.
+  static constexpr Duration SweepInterval{100};
+
+  /// Peeks: a connection that the peer has closed while idle would lose the
+  /// request sent on it.
+  static bool isClosedByPeer(Connection &Link) {
+    error_code Failure;
+    Link.Stream.socket().non_blocking(true, Failure);
+    char Byte = 0;
+    Link.Stream.socket().receive(asio::buffer(&Byte, 1),
+                                 Tcp::socket::message_peek, Failure);
+    return Failure != asio::error::would_block;
+  }
 
   void connect(const Address &At, const std::shared_ptr<Exchange> &Job) {
     error_code Failure;
@@ -275,21 +291,9 @@
     Target.Waiting.swap(Kept);
   }
 
-  /// A connection that the peer has closed while idle is found here or when a
-  /// peek sees its end, so that few requests are lost on a dead connection.
   void closeIdle(Peer &Target, SteadyTime Now) const {
-    auto IsDone = [&](const std::shared_ptr<Connection> &Link) {
-      if (Now - Link->IdleSince >= Options.IdleTimeout)
-        return true;
-      error_code Failure;
-      Link->Stream.socket().non_blocking(true, Failure);
-      char Byte = 0;
-      Link->Stream.socket().receive(asio::buffer(&Byte, 1),
-                                    Tcp::socket::message_peek, Failure);
-      return Failure != asio::error::would_block;
-    };
     for (auto It = Target.Idle.begin(); It != Target.Idle.end();) {
-      if (!IsDone(*It)) {
+      if (Now - (*It)->IdleSince < Options.IdleTimeout) {
         ++It;
         continue;
       }
--- a/src/teaselwalk/http/message.cpp
+++ b/src/teaselwalk/http/message.cpp
@@ -22,6 +22,17 @@
 
 } // namespace
 
+std::string headerOf(const Request &Message, const std::string &Name) {
+  auto SameLetter = [](unsigned char A, unsigned char B) {
+    return std::tolower(A) == std::tolower(B);
+  };
+  for (const auto &[Key, Value] : Message.Headers)
+    if (std::equal(Key.begin(), Key.end(), Name.begin(), Name.end(),
+                   SameLetter))
+      return Value;
+  return "";
+}
+
 std::string pathOf(const Request &Message) {
   return Message.Target.substr(0, Message.Target.find('?'));
 }
--- a/src/teaselwalk/http/server.cpp
+++ b/src/teaselwalk/http/server.cpp
@@ -124,6 +124,9 @@
     constexpr std::string_view Scheme = "Bearer ";
     if (Credential.compare(0, Scheme.size(), Scheme) == 0)
       Incoming.Bearer = Credential.substr(Scheme.size());
+    for (const auto &Field : Message)
+      Incoming.Headers.emplace_back(std::string(Field.name_string()),
+                                    std::string(Field.value()));
     // No time limit while the handler works: it has deadlines of its own.
     Stream.expires_never();
     ++Owner->Pending;
--- /dev/null
+++ b/src/teaselwalk/node/peer_client.cpp
@@ -0,0 +1,76 @@
+#include "peer_client.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/runtime/log.hpp"
+
+#include <utility>
+
+namespace teaselwalk::node {
+namespace {
+
+/// The owner answers from memory; after this the store is asked.
+constexpr Duration QueryTimeout{500};
+/// Added for the way to the other process and back.
+constexpr Duration HopSlack{100};
+
+/// The decoded body of \p Answer, or a value that says "no answer".
+template <typename Value, typename Decode>
+Value bodyOf(const http::Result &Answer, Decode Read) {
+  if (Answer.State != protocol::Delivery::Answered ||
+      Answer.Message.Status != 200)
+    return {};
+  try {
+    return Read(Answer.Message.Body);
+  } catch (const Error &Failure) {
+    runtime::logEvent(runtime::Level::Warn, EventName::PeerMessageLost,
+                      {{"reason", Failure.what()}});
+    return {};
+  }
+}
+
+} // namespace
+
+void PeerClient::job(const protocol::Address &To, const JobId &Id,
+                     std::function<void(cell::JobAnswer)> Done) {
+  Sender.send(To, {"GET", std::string(JobPath) + "?id=" + Id.str()},
+              QueryTimeout,
+              [this, Done = std::move(Done)](const http::Result &Answer) {
+                auto Found = bodyOf<cell::JobAnswer>(Answer, decodeJobAnswer);
+                Core.deliver([Done, Found] { Done(Found); });
+              });
+}
+
+void PeerClient::pending(const protocol::Address &To, const std::string &Queue,
+                         std::function<void(cell::PendingAnswer)> Done) {
+  Sender.send(
+      To,
+      {"GET",
+       std::string(PendingPath) + "?queue=" + http::percentEncode(Queue)},
+      QueryTimeout, [this, Done = std::move(Done)](const http::Result &Answer) {
+        auto Found = bodyOf<cell::PendingAnswer>(Answer, decodePendingAnswer);
+        Core.deliver([Done, Found] { Done(Found); });
+      });
+}
+
+void PeerClient::advice(const protocol::Address &To,
+                        const AdviceRequest &Request,
+                        std::function<void(cell::Advice)> Done) {
+  Sender.send(To, {"POST", AdvicePath, encode(Request)},
+              Request.Timeout + HopSlack,
+              [this, Done = std::move(Done)](const http::Result &Answer) {
+                auto Found = bodyOf<cell::Advice>(Answer, decodeAdvice);
+                Core.deliver([Done, Found] { Done(Found); });
+              });
+}
+
+void AdviceRouter::ask(const protocol::Address &Through,
+                       const cell::StepKey &Step,
+                       const std::vector<EndpointId> &Candidates,
+                       Duration Timeout,
+                       std::function<void(cell::Advice)> Done) {
+  if (Through.Port == 0)
+    return Own.ask(Step, Candidates, Timeout, std::move(Done));
+  Peers.advice(Through, {Step, Candidates, Timeout}, std::move(Done));
+}
+
+} // namespace teaselwalk::node
--- /dev/null
+++ b/src/teaselwalk/node/peer_client.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core_loop.hpp"
+#include "peer_protocol.hpp"
+
+#include "platform/advisor.hpp"
+
+#include "teaselwalk/cell/cell.hpp"
+#include "teaselwalk/http/client.hpp"
+
+namespace teaselwalk::node {
+
+/// Calls to the other processes of the system.
+class PeerClient : public cell::PeerCalls {
+public:
+  PeerClient(http::Client &Sender, CoreLoop &Core)
+      : Sender(Sender), Core(Core) {}
+
+  void job(const protocol::Address &To, const JobId &Id,
+           std::function<void(cell::JobAnswer)> Done) override;
+  void pending(const protocol::Address &To, const std::string &Queue,
+               std::function<void(cell::PendingAnswer)> Done) override;
+  void advice(const protocol::Address &To, const AdviceRequest &Request,
+              std::function<void(cell::Advice)> Done);
+
+private:
+  http::Client &Sender;
+  CoreLoop &Core;
+};
+
+/// Asks the advisory service from this process or through another one.
+class AdviceRouter : public cell::Advisor {
+public:
+  AdviceRouter(adapter::PlatformAdvisor &Own, PeerClient &Peers)
+      : Own(Own), Peers(Peers) {}
+
+  void ask(const protocol::Address &Through, const cell::StepKey &Step,
+           const std::vector<EndpointId> &Candidates, Duration Timeout,
+           std::function<void(cell::Advice)> Done) override;
+
+private:
+  adapter::PlatformAdvisor &Own;
+  PeerClient &Peers;
+};
+
+} // namespace teaselwalk::node
--- /dev/null
+++ b/src/teaselwalk/node/peer_protocol.cpp
@@ -0,0 +1,104 @@
+#include "peer_protocol.hpp"
+
+#include "teaselwalk/base/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselwalk::node {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Turns a JSON error into an `Error`.
+template <typename Read> auto reading(const std::string &Text, Read Body) {
+  try {
+    return Body(Json::parse(Text));
+  } catch (const Json::exception &Failure) {
+    throw Error(std::string("peer message: ") + Failure.what());
+  }
+}
+
+} // namespace
+
+std::string encode(const cell::JobAnswer &Answer) {
+  return Json{{"answered", Answer.IsAnswered},
+              {"known", Answer.IsKnown},
+              {"status", static_cast<int>(Answer.Status)},
+              {"queue", Answer.Queue},
+              {"team", Answer.Team}}
+      .dump();
+}
+
+std::string encode(const cell::PendingAnswer &Answer) {
+  return Json{{"answered", Answer.IsAnswered}, {"count", Answer.Count}}.dump();
+}
+
+std::string encode(const AdviceRequest &Request) {
+  Json Candidates = Json::array();
+  for (const EndpointId &Id : Request.Candidates)
+    Candidates.push_back(Id.str());
+  return Json{{"job", Request.Step.Job.str()},
+              {"occurrence", Request.Step.Occurrence},
+              {"step", Request.Step.Step},
+              {"candidates", std::move(Candidates)},
+              {"timeout_ms", Request.Timeout.count()}}
+      .dump();
+}
+
+std::string encode(const cell::Advice &Answer) {
+  Json Tickets = Json::array();
+  for (const auto &[Id, Ticket] : Answer.Tickets)
+    Tickets.push_back({Id.str(), Ticket});
+  return Json{{"outcome", static_cast<int>(Answer.Outcome)},
+              {"tickets", std::move(Tickets)},
+              {"validity_ms", Answer.Validity.count()}}
+      .dump();
+}
+
+cell::JobAnswer decodeJobAnswer(const std::string &Text) {
+  return reading(Text, [](const Json &Body) {
+    cell::JobAnswer Answer;
+    Answer.IsAnswered = Body.at("answered");
+    Answer.IsKnown = Body.at("known");
+    Answer.Status = static_cast<cell::JobStatus>(Body.at("status").get<int>());
+    Answer.Queue = Body.at("queue");
+    Answer.Team = Body.at("team");
+    return Answer;
+  });
+}
+
+cell::PendingAnswer decodePendingAnswer(const std::string &Text) {
+  return reading(Text, [](const Json &Body) {
+    cell::PendingAnswer Answer;
+    Answer.IsAnswered = Body.at("answered");
+    Answer.Count = Body.at("count");
+    return Answer;
+  });
+}
+
+AdviceRequest decodeAdviceRequest(const std::string &Text) {
+  return reading(Text, [](const Json &Body) {
+    AdviceRequest Request;
+    Request.Step = {JobId(Body.at("job").get<std::string>()),
+                    Body.at("occurrence"), Body.at("step")};
+    for (const Json &Id : Body.at("candidates"))
+      Request.Candidates.emplace_back(Id.get<std::string>());
+    Request.Timeout = Duration(Body.at("timeout_ms").get<int64_t>());
+    return Request;
+  });
+}
+
+cell::Advice decodeAdvice(const std::string &Text) {
+  return reading(Text, [](const Json &Body) {
+    cell::Advice Answer;
+    Answer.Outcome =
+        static_cast<cell::AdviceOutcome>(Body.at("outcome").get<int>());
+    for (const Json &Row : Body.at("tickets"))
+      Answer.Tickets.emplace_back(EndpointId(Row.at(0).get<std::string>()),
+                                  Row.at(1).get<std::string>());
+    Answer.Validity = Duration(Body.at("validity_ms").get<int64_t>());
+    return Answer;
+  });
+}
+
+} // namespace teaselwalk::node
--- /dev/null
+++ b/src/teaselwalk/node/peer_protocol.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "teaselwalk/cell/cell.hpp"
+#include "teaselwalk/http/message.hpp"
+
+#include <string>
+#include <vector>
+
+/// Messages between the processes of the system: HTTP with JSON bodies.
+namespace teaselwalk::node {
+
+constexpr const char *JobPath = "/peer/job";
+constexpr const char *PendingPath = "/peer/pending";
+constexpr const char *AdvicePath = "/peer/advice";
+
+struct AdviceRequest {
+  cell::StepKey Step;
+  std::vector<EndpointId> Candidates;
+  Duration Timeout{0};
+};
+
+std::string encode(const cell::JobAnswer &Answer);
+std::string encode(const cell::PendingAnswer &Answer);
+std::string encode(const AdviceRequest &Request);
+std::string encode(const cell::Advice &Answer);
+
+/// Each throws `Error` for anything that `encode` did not write.
+cell::JobAnswer decodeJobAnswer(const std::string &Text);
+cell::PendingAnswer decodePendingAnswer(const std::string &Text);
+AdviceRequest decodeAdviceRequest(const std::string &Text);
+cell::Advice decodeAdvice(const std::string &Text);
+
+} // namespace teaselwalk::node
--- /dev/null
+++ b/src/teaselwalk/node/recorder.cpp
@@ -0,0 +1,36 @@
+#include "recorder.hpp"
+
+#include "teaselwalk/runtime/log.hpp"
+
+namespace teaselwalk::node {
+namespace {
+
+constexpr double MsPerSecond = 1000;
+
+} // namespace
+
+void EventRecorder::event(EventName Name, cell::EventFields Fields) {
+  runtime::Fields Values;
+  Values.reserve(Fields.size());
+  for (auto &[Key, Value] : Fields)
+    Values.emplace_back(std::move(Key), std::move(Value));
+  runtime::logEvent(runtime::Level::Info, Name, std::move(Values));
+}
+
+void EventRecorder::count(const char *Name, int64_t Amount) {
+  runtime::Counter *&Known = Counters[Name];
+  if (Known == nullptr)
+    Known =
+        &Registry.counter(std::string("teaselwalk_") + Name + "_total", Name);
+  Known->add(static_cast<uint64_t>(Amount));
+}
+
+void EventRecorder::time(const char *Name, Duration Length) {
+  runtime::Timing *&Known = Timings[Name];
+  if (Known == nullptr)
+    Known =
+        &Registry.timing(std::string("teaselwalk_") + Name + "_seconds", Name);
+  Known->record(static_cast<double>(Length.count()) / MsPerSecond);
+}
+
+} // namespace teaselwalk::node
--- a/src/teaselwalk/runtime/log.cpp
+++ b/src/teaselwalk/runtime/log.cpp
@@ -40,10 +40,11 @@
 
 void startLibrary() { static log4cplus::Initializer Library; }
 
-log4cplus::SharedAppenderPtr makeAppender(const std::string &File) {
+log4cplus::SharedAppenderPtr makeAppender(const std::string &File,
+                                          bool ToOutput) {
   log4cplus::SharedAppenderPtr Appender;
   if (File.empty()) {
-    Appender = new log4cplus::ConsoleAppender(true, true);
+    Appender = new log4cplus::ConsoleAppender(!ToOutput, true);
   } else {
     // The library only reports a failure to open on standard error.
     if (!std::ofstream(File, std::ios::app))
@@ -67,7 +68,7 @@
     Writer.removeAllAppenders();
     Writer.setAdditivity(false);
     Writer.setLogLevel(levelOf(Lowest));
-    Writer.addAppender(makeAppender(Options.File));
+    Writer.addAppender(makeAppender(Options.File, Options.ToOutput));
   }
 
   void run() {
