cell, cli: shorter task leases, exit without static destructors

Cause of the LOST of mix: a lasting task on a dead endpoint waited for the end of its lease (10 s there), and after a change of the owner for 20 s, since the former owner could have renewed it for 10 s more. Change: task lease 5 s, an owner renews leases only for 3.5 s after the store last confirmed it. Cause of processes killed at the end of the grace time: the static destructors of the log library wait for its threads there (stages logged one by one; on a plain machine the exit takes no time). An empty thread pool did not help and was reverted. Change: quick_exit after all objects are gone.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -183,6 +183,7 @@
   Recorder &Log;
   const OwnerOptions Options;
   const OwnerHooks Hooks;
+  const Duration Lease; ///< Of tasks.
   const int64_t Epoch;
   const TimePoint GainedAt;
   Journal Writes;
--- a/src/teaselwalk/cell/owner_limits.hpp
+++ b/src/teaselwalk/cell/owner_limits.hpp
@@ -24,9 +24,13 @@
 /// Added to the time at which a lease has surely ended.
 constexpr Duration LeaseSlack{500};
 
-/// A former owner may have extended leases for this long after it lost the
-/// ownership: it stops when the store has not confirmed it for this time.
-constexpr Duration FormerOwnerLimit{10000};
+/// Lease of a task, or the platform's maximum if that is shorter. Covers a
+/// takeover (2 to 3 s); a task on a dead endpoint waits for its end.
+constexpr Duration TaskLease{5000};
+
+/// An owner extends leases only while the store has confirmed it within this
+/// time. With the leases it covers an outage of the store of 8 s.
+constexpr Duration FormerOwnerLimit{3500};
 
 /// An order without an answer may be carried out this much later.
 constexpr Duration LateOrderLimit{14000};
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -4,6 +4,7 @@
 #include "teaselwalk/cell/keys.hpp"
 #include "teaselwalk/cell/owner.hpp"
 
+#include <algorithm>
 #include <cstring>
 
 namespace teaselwalk::cell {
@@ -42,7 +43,8 @@
              Advisor &Service, Recorder &Log, OwnerOptions Given,
              OwnerHooks Calls, GuardRecord Held, int64_t Revision)
     : Clock(Clock), Source(Source), Workers(Workers), Log(Log),
-      Options(std::move(Given)), Hooks(std::move(Calls)), Epoch(Held.Epoch),
+      Options(std::move(Given)), Hooks(std::move(Calls)),
+      Lease(std::min(TaskLease, Options.MaxTaskLease)), Epoch(Held.Epoch),
       GainedAt(Clock.now()), Writes(Clock, Source, Log, Held, Revision),
       Intake(Clock, Source, Log, intakeOptions(),
              [this](const StoreItem &Item) { onIntake(Item); }),
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -25,7 +25,7 @@
 
 int64_t Owner::leaseUntil(const EndpointState &Endpoint, TimePoint Now) const {
   int64_t Clock = Endpoint.clockAt(Now);
-  return Clock == 0 ? 0 : Clock + Options.MaxTaskLease.count();
+  return Clock == 0 ? 0 : Clock + Lease.count();
 }
 
 void Owner::renewLater(const EndpointId &Id, Duration Delay) {
@@ -249,8 +249,7 @@
 void Owner::noteSilence(EndpointState &Endpoint, TimePoint Now) {
   bool IsSilent = Endpoint.AnsweredAt == TimePoint() ||
                   Now - Endpoint.AnsweredAt > SilenceLimit;
-  TimePoint LeaseEnd =
-      Endpoint.RenewedAt + withDrift(Options.MaxTaskLease) + LeaseSlack;
+  TimePoint LeaseEnd = Endpoint.RenewedAt + withDrift(Lease) + LeaseSlack;
   if (!IsSilent || Endpoint.Tasks.empty() || Now < LeaseEnd)
     return;
   std::vector<TaskKey> Lapsed;
--- a/src/teaselwalk/cli/node_command.cpp
+++ b/src/teaselwalk/cli/node_command.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 
 namespace teaselwalk::cli {
 namespace {
@@ -52,12 +53,16 @@
   sigset_t Signals = blockStopSignals();
   sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  node::Process Running(Settings);
+  auto Running = std::make_unique<node::Process>(Settings);
   int Received = SIGHUP;
   while (Received == SIGHUP)
     sigwait(&Signals, &Received);
-  Duration Limit = Settings.Limits.GracePeriod - ExitTime;
-  return Running.drain(Limit) ? ExitOk : ExitFailure;
+  bool IsComplete = Running->drain(Settings.Limits.GracePeriod - ExitTime);
+  Running.reset();
+  std::cout.flush();
+  // Without static destructors: those of the log library wait for its idle
+  // threads, on the platform's machines past the end of the grace period.
+  std::quick_exit(IsComplete ? ExitOk : ExitFailure);
 }
 
 } // namespace
