cell: tests of the owner against fakes in virtual time

The fakes follow the platform's pages: orders done late or without an answer, reborn endpoints, lost and late store writes, dropped history, paused and killed processes. They check room, single runs, order of steps and no run after an acknowledged end. Now it waits for the lease if the endpoint is not listed. The two tests of a dead endpoint fail with the former lease times (checked).

--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -255,7 +255,8 @@
   std::vector<TaskKey> Lapsed;
   for (const TaskKey &Key : Endpoint.Tasks) {
     const TaskState &Task = *jobOf(Key.Job)->find(Key);
-    bool MayComeLate = Task.AnsweredAt == TimePoint() &&
+    // A late order can only reach a new life, which lists itself again.
+    bool MayComeLate = Task.AnsweredAt == TimePoint() && Endpoint.IsListed &&
                        Now - Task.AssignedAt < LateOrderLimit;
     if (Task.IsOrdered && !MayComeLate)
       Lapsed.push_back(Key);
--- /dev/null
+++ b/src/teaselwalk/cell/owner_test.cpp
@@ -0,0 +1,327 @@
+#include "testing/fake_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace teaselwalk::cell::testing {
+namespace {
+
+/// Longest time from the start of a world to its first owner at work.
+constexpr Duration Settle{1500};
+
+TaskKey taskOf(const JobSpec &Job, int Step, int Index) {
+  return {Job.Id, 0, Step, Index};
+}
+
+class OwnerTest : public ::testing::Test {
+protected:
+  void begin(int Processes, int Endpoints) {
+    World.addEndpoints(Endpoints);
+    World.addProcesses(Processes);
+    World.Clock.runFor(Settle);
+    ASSERT_LT(World.ownerIndex(), World.Processes.size());
+  }
+
+  void submit(const JobSpec &Job, size_t Process = 0) {
+    auto Answers = World.send(Process, CallerAction::Submit, Job);
+    World.Clock.runFor(Duration(50));
+    ASSERT_EQ(Answers->size(), 1U);
+    ASSERT_EQ(Answers->front().Kind, AnswerKind::Done)
+        << Answers->front().Reason;
+  }
+
+  void expectState(const JobSpec &Job, JobStatus Expected) {
+    for (size_t I = 0; I < World.Processes.size(); ++I)
+      if (World.Processes[I]) {
+        CallerAnswer Answer = World.status(I, Job);
+        EXPECT_EQ(Answer.Kind, AnswerKind::Done) << Answer.Reason;
+        EXPECT_EQ(Answer.State, Expected);
+      }
+    EXPECT_EQ(World.violations(), "");
+  }
+
+  FakeWorld World;
+};
+
+// Guards against a step that starts before all earlier steps have ended.
+TEST_F(OwnerTest, RunsStepsInOrderAndShowsCompletion) {
+  begin(3, 4);
+  JobSpec Job = World.job(1, {World.step(6), World.step(3, 2000, {0})});
+  submit(Job);
+  World.Clock.runFor(Duration(4000));
+  expectState(Job, JobStatus::Completed);
+  EXPECT_EQ(World.Cluster.Starts, 9);
+}
+
+// Guards against more tasks on an endpoint than its capacity allows.
+TEST_F(OwnerTest, QueuesWhatDoesNotFit) {
+  begin(2, 2);
+  JobSpec Job = World.job(1, {World.step(20, 3000)});
+  submit(Job);
+  World.Clock.runFor(Duration(8000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against a task that runs twice after a start order whose answer was
+// lost, whether or not the endpoint carried it out.
+TEST_F(OwnerTest, ResolvesStartsWithoutAnswer) {
+  begin(2, 3);
+  FakeProcess &Owning = *World.Processes[World.ownerIndex()];
+  Owning.Workers.LoseStarts = 3;
+  Owning.Workers.DelayStarts = 3;
+  JobSpec Job = World.job(1, {World.step(8)});
+  submit(Job);
+  World.Clock.runFor(Duration(9000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against a late order of the former life of an endpoint that runs in
+// the new one beside the restarted task.
+TEST_F(OwnerTest, FencesLateOrdersAfterAnEndpointRestart) {
+  begin(2, 2);
+  FakeProcess &Owning = *World.Processes[World.ownerIndex()];
+  Owning.Workers.DelayStarts = 4;
+  Owning.Workers.StartDelay = Duration(2000);
+  JobSpec Job = World.job(1, {World.step(4, 3000)});
+  submit(Job);
+  World.Clock.runFor(Duration(300));
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    World.Cluster.restart(Id);
+  World.Clock.runFor(Duration(9000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against running tasks that a new owner starts again, and against
+// ends that the former owner had read but not stored.
+TEST_F(OwnerTest, TakesOverRunningTasks) {
+  begin(3, 4);
+  World.Cluster.DefaultWork.Length = Duration(6000);
+  JobSpec Job = World.job(1, {World.step(8), World.step(2, 1000, {0})});
+  size_t First = World.ownerIndex();
+  submit(Job, (First + 1) % 3);
+  World.Clock.runFor(Duration(2000));
+  World.kill(First);
+  World.Clock.runFor(Duration(16000));
+  expectState(Job, JobStatus::Completed);
+  EXPECT_EQ(World.Cluster.Starts, 10) << "no task was lost or repeated";
+}
+
+// Guards against a lasting task on a dead endpoint that waits for 20 s when
+// the owner changes meanwhile (mix --seed 426441659282 at Kadrownia).
+TEST_F(OwnerTest, RestartsServicesOfADeadEndpointSoonAfterATakeover) {
+  World.Cluster.MaxLease = Duration(10000);
+  begin(2, 3);
+  World.Cluster.DefaultWork.Lasts = true;
+  JobSpec Job = World.job(1, {World.step(1, 2000)});
+  Job.Steps[0].Service = true;
+  size_t First = World.ownerIndex();
+  submit(Job, 1 - First);
+  World.Clock.runFor(Duration(1000));
+  EndpointId Dead;
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    if (!Machine.Running.empty())
+      Dead = Id;
+  World.Cluster.crash(Dead);
+  World.unlist(Dead);
+  World.Clock.runFor(Duration(3000));
+  World.kill(First);
+  // Longest takeover 3 s, then what is left of the leases.
+  World.Clock.runFor(Duration(11000));
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(Job, 0, 0)], 2);
+  EXPECT_EQ(World.violations(), "");
+}
+
+// Guards against a lasting task that waits for a 10 s lease on a dead
+// endpoint although no owner changes.
+TEST_F(OwnerTest, RestartsServicesOfADeadEndpoint) {
+  World.Cluster.MaxLease = Duration(10000);
+  begin(1, 3);
+  World.Cluster.DefaultWork.Lasts = true;
+  JobSpec Job = World.job(1, {World.step(1, 2000)});
+  Job.Steps[0].Service = true;
+  submit(Job);
+  World.Clock.runFor(Duration(1000));
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    if (!Machine.Running.empty()) {
+      World.Cluster.crash(Id);
+      World.unlist(Id);
+      break;
+    }
+  World.Clock.runFor(Duration(7000));
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(Job, 0, 0)], 2);
+}
+
+// Guards against a paused owner that goes on to start tasks after another
+// process has taken over.
+TEST_F(OwnerTest, PausedOwnerDoesNotActAfterwards) {
+  begin(2, 4);
+  World.Cluster.DefaultWork.Length = Duration(3000);
+  JobSpec Job = World.job(1, {World.step(6), World.step(6, 1000, {0})});
+  size_t First = World.ownerIndex();
+  submit(Job, 1 - First);
+  World.Clock.runFor(Duration(500));
+  World.Processes[First]->Clock.pause();
+  World.Clock.runFor(Duration(4000));
+  EXPECT_EQ(World.ownerIndex(), First) << "it does not know yet";
+  World.Processes[First]->Clock.resume();
+  World.Clock.runFor(Duration(12000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against records that late writes of the store set back.
+TEST_F(OwnerTest, LateStoreWritesDoNotSetStateBack) {
+  begin(2, 4);
+  FakeProcess &Owning = *World.Processes[World.ownerIndex()];
+  JobSpec Job = World.job(1, {World.step(4), World.step(4, 1000, {0})});
+  submit(Job, World.ownerIndex());
+  Owning.Store.DelayWrites = 2;
+  Owning.Store.LoseAnswers = 2;
+  World.Clock.runFor(Duration(15000));
+  size_t First = World.ownerIndex();
+  World.kill(First);
+  World.Clock.runFor(Duration(5000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against accepted work that is lost when all processes end at once.
+TEST_F(OwnerTest, RecoversEverythingFromTheStore) {
+  begin(3, 4);
+  World.Cluster.DefaultWork.Length = Duration(3000);
+  std::vector<JobSpec> Jobs;
+  for (int I = 1; I <= 12; ++I) {
+    Jobs.push_back(World.job(I, {World.step(3), World.step(2, 500, {0})}));
+    submit(Jobs.back(), static_cast<size_t>(I) % 3);
+  }
+  for (size_t I = 0; I < 3; ++I)
+    World.kill(I);
+  World.Clock.runFor(Duration(9000));
+  for (size_t I = 0; I < 3; ++I)
+    World.revive(I);
+  World.Clock.runFor(Duration(30000));
+  for (const JobSpec &Job : Jobs)
+    expectState(Job, JobStatus::Completed);
+}
+
+// Guards against tasks of a cancelled job that start or go on.
+TEST_F(OwnerTest, CancelStopsEverything) {
+  begin(2, 2);
+  World.Cluster.DefaultWork.Length = Duration(20000);
+  JobSpec Job = World.job(1, {World.step(30, 2000)});
+  submit(Job);
+  World.Clock.runFor(Duration(1000));
+  auto Answers = World.send(1, CallerAction::Cancel, Job);
+  World.Clock.runFor(Duration(1500));
+  ASSERT_EQ(Answers->size(), 1U);
+  EXPECT_EQ(Answers->front().Kind, AnswerKind::Done);
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    EXPECT_TRUE(Machine.Running.empty());
+  int Before = World.Cluster.Starts;
+  World.Clock.runFor(Duration(3000));
+  EXPECT_EQ(World.Cluster.Starts, Before);
+  expectState(Job, JobStatus::Cancelled);
+}
+
+// Guards against a job that never ends because its task always fails, and
+// against more attempts than the queue allows.
+TEST_F(OwnerTest, GivesUpAfterTheLastAttempt) {
+  begin(1, 2);
+  JobSpec Job = World.job(1, {World.step(1)});
+  World.Cluster.Work[taskOf(Job, 0, 0)].FailFirst = 9;
+  submit(Job);
+  World.Clock.runFor(Duration(6000));
+  EXPECT_EQ(World.Cluster.Starts, 2);
+  expectState(Job, JobStatus::Failed);
+}
+
+// Guards against a gang of which only a part is started.
+TEST_F(OwnerTest, GangWaitsForAllPlaces) {
+  begin(1, 2);
+  World.Cluster.DefaultWork.Length = Duration(2000);
+  JobSpec Filler = World.job(1, {World.step(1, 6000)});
+  JobSpec Gang = World.job(2, {World.step(4, 4000)});
+  Gang.Steps[0].Gang = true;
+  submit(Filler);
+  submit(Gang);
+  World.Clock.runFor(Duration(1000));
+  EXPECT_EQ(World.Cluster.Starts, 1);
+  World.Clock.runFor(Duration(1500));
+  EXPECT_EQ(World.Cluster.Starts, 5);
+  World.Clock.runFor(Duration(3000));
+  expectState(Gang, JobStatus::Completed);
+}
+
+// Guards against a team that runs more than its limit.
+TEST_F(OwnerTest, KeepsTheLimitOfATeam) {
+  World.Config.Teams[0].Limit.MilliCpu = 3000;
+  begin(1, 4);
+  World.Cluster.DefaultWork.Length = Duration(2000);
+  JobSpec Job = World.job(1, {World.step(6)});
+  submit(Job);
+  World.Clock.runFor(Duration(1000));
+  EXPECT_EQ(World.Cluster.Starts, 3);
+  World.Clock.runFor(Duration(6000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against starts in a data centre that operators have taken out, and on
+// an endpoint that is leaving.
+TEST_F(OwnerTest, AvoidsDataCentresAndEndpointsThatAreOut) {
+  begin(1, 4);
+  World.Store.put(std::string(OutPrefix) + "dc-a", "{}");
+  World.Cluster.Machines[EndpointId("e1")].Info.Draining = true;
+  World.list(EndpointId("e1"));
+  World.Clock.runFor(Duration(1500));
+  JobSpec Job = World.job(1, {World.step(6)});
+  submit(Job);
+  World.Clock.runFor(Duration(500));
+  for (const char *Id : {"e0", "e1", "e2"})
+    EXPECT_TRUE(World.Cluster.Machines[EndpointId(Id)].Running.empty()) << Id;
+  EXPECT_EQ(World.Cluster.Starts, 6);
+}
+
+// Guards against entries of the discovery list that another writer has left.
+TEST_F(OwnerTest, IgnoresMalformedEntries) {
+  begin(1, 2);
+  World.Store.put(std::string(EntryPrefix) + "x", "nonsense");
+  World.Clock.runFor(Duration(1000));
+  JobSpec Job = World.job(1, {World.step(2)});
+  submit(Job);
+  World.Clock.runFor(Duration(3000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against changes that a watch misses while the store drops its
+// history.
+TEST_F(OwnerTest, ReadsAgainWhenHistoryIsGone) {
+  begin(2, 2);
+  JobSpec Job = World.job(1, {World.step(2)});
+  World.Store.dropHistory();
+  submit(Job);
+  World.Store.dropHistory();
+  World.Clock.runFor(Duration(4000));
+  expectState(Job, JobStatus::Completed);
+}
+
+// Guards against tails of serving tasks that opportunistic neighbours disturb.
+TEST_F(OwnerTest, PacesOpportunisticNeighbours) {
+  begin(1, 1);
+  World.Cluster.DefaultWork.Lasts = true;
+  JobSpec Serving = World.job(1, {World.step(1, 2000)});
+  Serving.Steps[0].Service = true;
+  Serving.Steps[0].TailTarget = Duration(100);
+  JobSpec Filler = World.job(2, {World.step(1, 2000)});
+  Filler.Steps[0].Opportunistic = true;
+  submit(Serving);
+  submit(Filler);
+  World.Clock.runFor(Duration(1500));
+  auto &Running = World.Cluster.Machines[EndpointId("e0")].Running;
+  ASSERT_EQ(Running.size(), 2U);
+  Running[taskOf(Serving, 0, 0)].Figure = 150;
+  World.Clock.runFor(Duration(3000));
+  EXPECT_EQ(Running[taskOf(Filler, 0, 0)].Pace, 0);
+  Running[taskOf(Serving, 0, 0)].Figure = 20;
+  World.Clock.runFor(Duration(12000));
+  EXPECT_EQ(Running[taskOf(Filler, 0, 0)].Pace, 100);
+}
+
+} // namespace
+} // namespace teaselwalk::cell::testing
--- /dev/null
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "teaselwalk/cell/ports.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace teaselwalk::cell::testing {
+
+/// Virtual time: work runs in the order of its due time.
+class FakeClock : public Executor {
+public:
+  TimePoint now() const override { return Now; }
+  int64_t wallMillis() const override {
+    return WallOrigin + Now.time_since_epoch().count() + WallStep.count();
+  }
+  void after(Duration Delay, std::function<void()> Work) override {
+    Queue.emplace(std::make_pair(Now + Delay, Number++), std::move(Work));
+  }
+
+  void runFor(Duration Length) { runUntil(Now + Length); }
+
+  void runUntil(TimePoint End) {
+    while (!Queue.empty() && Queue.begin()->first.first <= End) {
+      auto Next = Queue.extract(Queue.begin());
+      Now = std::max(Now, Next.key().first);
+      Next.mapped()();
+    }
+    Now = End;
+  }
+
+  Duration WallStep{0}; ///< Jump of the time of day.
+
+private:
+  static constexpr int64_t WallOrigin = 1700000000000;
+  TimePoint Now = timeAt(1000);
+  uint64_t Number = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> Queue;
+};
+
+/// One process's view of the clock: its work waits while it is paused and is
+/// dropped once it is dead.
+class FakeProcessClock : public Executor {
+public:
+  explicit FakeProcessClock(FakeClock &Shared) : Shared(Shared) {}
+
+  TimePoint now() const override { return Shared.now(); }
+  int64_t wallMillis() const override { return Shared.wallMillis(); }
+  void after(Duration Delay, std::function<void()> Work) override {
+    Shared.after(Delay, [this, Work = std::move(Work)] { perform(Work); });
+  }
+
+  /// Nothing runs any more. What is on its way to others still arrives.
+  void die() { Dead = true; }
+
+  void pause() { Paused = true; }
+  void resume() {
+    Paused = false;
+    std::vector<std::function<void()>> Late;
+    Late.swap(Waiting);
+    for (const auto &Work : Late)
+      perform(Work);
+  }
+
+private:
+  void perform(const std::function<void()> &Work) {
+    if (Dead)
+      return;
+    if (Paused)
+      Waiting.push_back(Work);
+    else
+      Work();
+  }
+
+  FakeClock &Shared;
+  bool Paused = false;
+  std::vector<std::function<void()>> Waiting;
+  bool Dead = false;
+};
+
+/// Keeps nothing; counts by name.
+class FakeRecorder : public Recorder {
+public:
+  void event(EventName Name, EventFields Fields) override {
+    ++Events[Name];
+    if (Keep)
+      Lines.emplace_back(Name, std::move(Fields));
+  }
+  void count(const char *Name, int64_t Amount) override {
+    Counts[Name] += Amount;
+  }
+  void time(const char *, Duration) override {}
+
+  std::map<EventName, int> Events;
+  std::map<std::string, int64_t> Counts;
+  bool Keep = false;
+  std::vector<std::pair<EventName, EventFields>> Lines;
+};
+
+} // namespace teaselwalk::cell::testing
--- /dev/null
+++ b/src/teaselwalk/cell/testing/fake_endpoints.hpp
@@ -0,0 +1,356 @@
+#pragma once
+
+#include "fake_clock.hpp"
+
+#include "teaselwalk/cell/ports.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace teaselwalk::cell::testing {
+
+/// What a task does when it runs.
+struct FakeWork {
+  Duration Length{1000};
+  int FailFirst = 0; ///< So many runs fail at their end.
+  bool Lasts = false;
+};
+
+/// All endpoints, as their protocol describes them, and a check of the rules
+/// that they can see: room, one run of a task at a time, order of steps, and
+/// no run after an acknowledged end.
+class FakeCluster {
+public:
+  explicit FakeCluster(FakeClock &Clock) : Clock(Clock) {}
+
+  struct Run {
+    int64_t Attempt = 0;
+    std::string Checkpoint;
+    uint64_t Serial = 0;
+    int64_t Figure = 0;
+    int32_t Pace = 100;
+  };
+
+  struct Machine {
+    EndpointInfo Info;
+    bool IsUp = true;
+    bool IsCut = false; ///< Runs on, but nothing reaches it.
+    TimePoint Born;
+    int64_t BornMs = 0;
+    int64_t Token = 0;
+    int64_t NextEnd = 1;
+    int64_t Acknowledged = 0;
+    int64_t LeaseUntilMs = 0;
+    std::map<TaskKey, Run> Running;
+    std::map<TaskKey, int64_t> Highest; ///< Attempts stopped or ended.
+    std::vector<EndRow> Ends;
+    bool FailsAll = false;
+  };
+
+  std::map<EndpointId, Machine> Machines;
+  std::map<JobId, JobSpec> Jobs;
+  std::map<TaskKey, FakeWork> Work;
+  FakeWork DefaultWork;
+  std::set<std::string> Violations;
+  Duration MaxLease{6000};
+  int Starts = 0;
+  std::map<TaskKey, int> StartsOf;
+
+  int64_t clockOf(const Machine &M) const {
+    return (Clock.now() - M.Born).count() + 1;
+  }
+
+  void crash(const EndpointId &Id) {
+    Machine &M = Machines[Id];
+    M.IsUp = false;
+    M.Running.clear();
+  }
+  void restart(const EndpointId &Id) {
+    Machine &M = Machines[Id];
+    EndpointInfo Info = M.Info;
+    M = Machine();
+    M.Info = Info;
+    M.Born = Clock.now();
+    M.BornMs = Clock.wallMillis();
+    M.Info.BornMs = M.BornMs;
+  }
+
+  OrderResult start(Machine &M, const StartOrder &Order) {
+    expire(M);
+    OrderResult Result{OrderOutcome::Done, clockOf(M)};
+    if (Order.Token < M.Token)
+      return {OrderOutcome::StaleToken, Result.ClockMs};
+    M.Token = Order.Token;
+    if (Order.LeaseUntilMs <= clockOf(M))
+      return {OrderOutcome::TooLate, Result.ClockMs};
+    extend(M, Order.LeaseUntilMs);
+    auto Present = M.Running.find(Order.Task);
+    if (Present != M.Running.end() && Present->second.Attempt == Order.Attempt)
+      return Result;
+    auto Known = M.Highest.find(Order.Task);
+    if (Known != M.Highest.end() && Order.Attempt <= Known->second)
+      return {OrderOutcome::Superseded, Result.ClockMs};
+    begin(M, Order);
+    return Result;
+  }
+
+  OrderResult stop(Machine &M, const TaskKey &Task, int64_t Attempt,
+                   int64_t Token) {
+    expire(M);
+    if (Token < M.Token)
+      return {OrderOutcome::StaleToken, clockOf(M)};
+    M.Token = Token;
+    M.Highest[Task] = std::max(M.Highest[Task], Attempt);
+    auto Found = M.Running.find(Task);
+    if (Found != M.Running.end() && Found->second.Attempt <= Attempt)
+      Clock.after(StopTime,
+                  [this, Id = M.Info.Id, Task, Serial = Found->second.Serial] {
+                    end(Id, Task, Serial, RunEnd::Stopped);
+                  });
+    return {OrderOutcome::Done, clockOf(M)};
+  }
+
+  RenewResult renew(Machine &M, const RenewOrder &Order) {
+    expire(M);
+    RenewResult Result;
+    Result.ClockMs = clockOf(M);
+    Result.BornMs = M.BornMs;
+    if (Order.Token < M.Token) {
+      Result.Outcome = OrderOutcome::StaleToken;
+      return Result;
+    }
+    M.Token = Order.Token;
+    if (Order.LeaseUntilMs > 0)
+      extend(M, Order.LeaseUntilMs);
+    acknowledge(M, Order.AcknowledgedEnd);
+    for (const auto &[Key, Value] : M.Running)
+      Result.Running.push_back(
+          {Key, Value.Attempt, Value.Checkpoint, 100, Value.Figure});
+    Result.Ends = M.Ends;
+    Result.Outcome = OrderOutcome::Done;
+    return Result;
+  }
+
+  /// All tasks of \p Step of \p Job have an end `Done`.
+  bool isDone(const JobId &Job, int32_t Step) const {
+    const JobSpec &Spec = Jobs.at(Job);
+    for (int32_t T = 0; T < Spec.Steps[static_cast<size_t>(Step)].Tasks; ++T)
+      if (DoneTasks.count({Job, 0, Step, T}) == 0)
+        return false;
+    return true;
+  }
+
+private:
+  static constexpr Duration StopTime{50};
+
+  void violate(const std::string &Rule, const TaskKey &Task) {
+    Violations.insert(Rule + " " + Task.Job.str() + "." +
+                      std::to_string(Task.Step) + "." +
+                      std::to_string(Task.Index));
+  }
+
+  const StepSpec &stepOf(const TaskKey &Task) const {
+    return Jobs.at(Task.Job).Steps[static_cast<size_t>(Task.Step)];
+  }
+
+  void begin(Machine &M, const StartOrder &Order) {
+    ++Starts;
+    ++StartsOf[Order.Task];
+    const StepSpec &Step = stepOf(Order.Task);
+    Resources Used = Step.Need;
+    for (const auto &[Key, Value] : M.Running)
+      Used += stepOf(Key).Need;
+    if (!fits(Used, M.Info.Capacity))
+      violate("LIMIT", Order.Task);
+    for (auto &[Id, Other] : Machines) {
+      expire(Other);
+      if (Other.IsUp && Other.Running.count(Order.Task) != 0)
+        violate("TWICE", Order.Task);
+    }
+    if (AcknowledgedDone.count(Order.Task) != 0)
+      violate("TWICE after the end", Order.Task);
+    if (DoneTasks.count(Order.Task) != 0)
+      StartedAfterDone.insert(Order.Task);
+    for (int32_t Earlier : Step.After)
+      if (!isDone(Order.Task.Job, Earlier))
+        violate("ORDER", Order.Task);
+    Run Value;
+    Value.Attempt = Order.Attempt;
+    Value.Checkpoint = Order.Checkpoint;
+    Value.Serial = ++NextSerial;
+    M.Running[Order.Task] = Value;
+    auto Found = Work.find(Order.Task);
+    const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
+    if (Plan.Lasts)
+      return;
+    bool Fails = M.FailsAll || StartsOf[Order.Task] <= Plan.FailFirst;
+    Clock.after(Plan.Length, [this, Id = M.Info.Id, Task = Order.Task,
+                              Serial = Value.Serial, Fails] {
+      end(Id, Task, Serial, Fails ? RunEnd::Failed : RunEnd::Done);
+    });
+  }
+
+  void end(const EndpointId &Id, const TaskKey &Task, uint64_t Serial,
+           RunEnd How) {
+    Machine &M = Machines[Id];
+    expire(M);
+    auto Found = M.Running.find(Task);
+    if (!M.IsUp || Found == M.Running.end() || Found->second.Serial != Serial)
+      return;
+    finish(M, Task, How);
+  }
+
+  void finish(Machine &M, const TaskKey &Task, RunEnd How) {
+    auto Found = M.Running.find(Task);
+    int64_t Attempt = Found->second.Attempt;
+    M.Highest[Task] = std::max(M.Highest[Task], Attempt);
+    M.Ends.push_back(
+        {M.NextEnd++, Task, Attempt, How, Found->second.Checkpoint});
+    M.Running.erase(Found);
+    if (How == RunEnd::Done)
+      DoneTasks.insert(Task);
+  }
+
+  void acknowledge(Machine &M, int64_t Number) {
+    std::vector<EndRow> Kept;
+    for (const EndRow &End : M.Ends) {
+      if (End.Number > Number) {
+        Kept.push_back(End);
+        continue;
+      }
+      if (End.How != RunEnd::Done)
+        continue;
+      AcknowledgedDone.insert(End.Task);
+      if (StartedAfterDone.count(End.Task) != 0)
+        violate("TWICE around the end", End.Task);
+    }
+    M.Ends.swap(Kept);
+  }
+
+  void extend(Machine &M, int64_t UntilMs) {
+    int64_t Longest = clockOf(M) + MaxLease.count();
+    M.LeaseUntilMs = std::max(M.LeaseUntilMs, std::min(UntilMs, Longest));
+  }
+
+  void expire(Machine &M) {
+    if (!M.IsUp || M.Running.empty() || clockOf(M) < M.LeaseUntilMs)
+      return;
+    std::vector<TaskKey> Lapsed;
+    for (const auto &[Key, Value] : M.Running)
+      Lapsed.push_back(Key);
+    for (const TaskKey &Key : Lapsed)
+      finish(M, Key, RunEnd::Lapsed);
+  }
+
+  FakeClock &Clock;
+  std::set<TaskKey> DoneTasks;
+  std::set<TaskKey> AcknowledgedDone;
+  std::set<TaskKey> StartedAfterDone;
+  uint64_t NextSerial = 0;
+};
+
+/// The endpoints as one process reaches them, with faults.
+class FakeEndpointClient : public Endpoints {
+public:
+  FakeEndpointClient(FakeClock &Network, Executor &Own, FakeCluster &Cluster)
+      : Network(Network), Own(Own), Cluster(Cluster) {}
+
+  bool IsCut = false;
+  /// Number of coming starts that have no answer and are done this much later.
+  int DelayStarts = 0;
+  Duration StartDelay{4000};
+  /// Number of coming starts that are done without an answer.
+  int LoseStarts = 0;
+
+  void start(const EndpointInfo &To, const StartOrder &Order,
+             std::function<void(OrderResult)> Done) override {
+    bool IsLate = DelayStarts > 0;
+    bool IsLost = !IsLate && LoseStarts > 0;
+    if (IsLate || IsLost) {
+      --(IsLate ? DelayStarts : LoseStarts);
+      Network.after(IsLate ? StartDelay : Latency, [this, Id = To.Id, Order] {
+        FakeCluster::Machine &M = Cluster.Machines[Id];
+        if (M.IsUp && !M.IsCut)
+          Cluster.start(M, Order);
+      });
+      return Own.after(OrderTimeout, [Done = std::move(Done)] { Done({}); });
+    }
+    call<OrderResult>(To, std::move(Done), [this, Order](auto &M) {
+      return Cluster.start(M, Order);
+    });
+  }
+  void stop(const EndpointInfo &To, const TaskKey &Task, int64_t Attempt,
+            int64_t Token, std::function<void(OrderResult)> Done) override {
+    call<OrderResult>(To, std::move(Done),
+                      [this, Task, Attempt, Token](auto &M) {
+                        return Cluster.stop(M, Task, Attempt, Token);
+                      });
+  }
+  void pace(const EndpointInfo &To, const TaskKey &Task, int64_t,
+            int32_t Percent, int64_t,
+            std::function<void(OrderResult)> Done) override {
+    call<OrderResult>(To, std::move(Done), [Task, Percent](auto &M) {
+      auto Found = M.Running.find(Task);
+      if (Found != M.Running.end())
+        Found->second.Pace = Percent;
+      return OrderResult{OrderOutcome::Done, 0};
+    });
+  }
+  void renew(const EndpointInfo &To, const RenewOrder &Order,
+             std::function<void(RenewResult)> Done) override {
+    if (!reaches(To.Id))
+      return Own.after(Order.Wait + OrderTimeout,
+                       [Done = std::move(Done)] { Done({}); });
+    Network.after(
+        Latency, [this, Id = To.Id, Order, Done = std::move(Done)]() mutable {
+          waitForEnd(Id, Order, Network.now() + Order.Wait, std::move(Done));
+        });
+  }
+
+private:
+  static constexpr Duration Latency{1};
+  static constexpr Duration OrderTimeout{800};
+  static constexpr Duration PollInterval{10};
+
+  bool reaches(const EndpointId &Id) const {
+    auto Found = Cluster.Machines.find(Id);
+    return !IsCut && Found != Cluster.Machines.end() && Found->second.IsUp &&
+           !Found->second.IsCut;
+  }
+
+  void waitForEnd(const EndpointId &Id, const RenewOrder &Order, TimePoint End,
+                  std::function<void(RenewResult)> Done) {
+    if (!reaches(Id))
+      return Own.after(OrderTimeout, [Done] { Done({}); });
+    RenewResult Found = Cluster.renew(Cluster.Machines[Id], Order);
+    bool IsOver = Found.Outcome != OrderOutcome::Done || !Found.Ends.empty() ||
+                  Network.now() >= End;
+    if (IsOver)
+      return Own.after(Latency, [Done, Found] { Done(Found); });
+    Network.after(PollInterval, [=, Done = std::move(Done)]() mutable {
+      waitForEnd(Id, Order, End, std::move(Done));
+    });
+  }
+
+  template <typename Result, typename Body>
+  void call(const EndpointInfo &To, std::function<void(Result)> Done,
+            Body Order) {
+    if (!reaches(To.Id))
+      return Own.after(OrderTimeout, [Done = std::move(Done)] { Done({}); });
+    Network.after(
+        Latency, [this, Id = To.Id, Done = std::move(Done), Order]() mutable {
+          if (!reaches(Id))
+            return Own.after(OrderTimeout, [Done] { Done({}); });
+          Own.after(Latency,
+                    [Done = std::move(Done),
+                     Answer = Order(Cluster.Machines[Id])] { Done(Answer); });
+        });
+  }
+
+  FakeClock &Network;
+  Executor &Own;
+  FakeCluster &Cluster;
+};
+
+} // namespace teaselwalk::cell::testing
--- /dev/null
+++ b/src/teaselwalk/cell/testing/fake_store.hpp
@@ -0,0 +1,274 @@
+#pragma once
+
+#include "fake_clock.hpp"
+
+#include "teaselwalk/cell/ports.hpp"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace teaselwalk::cell::testing {
+
+/// The platform's store as its protocol describes it: one revision counter,
+/// conditional transactions, leases and a history that can be dropped.
+class FakeStore {
+public:
+  explicit FakeStore(FakeClock &Clock) : Clock(Clock) {}
+
+  struct Entry {
+    std::string Value;
+    int64_t Revision = 0;
+    int64_t Lease = 0;
+  };
+
+  CommitResult commit(const StoreTransaction &Change) {
+    expire();
+    CommitResult Result;
+    for (const auto &[Key, Needed] : Change.Conditions) {
+      auto Found = Items.find(Key);
+      int64_t Present = Found == Items.end() ? 0 : Found->second.Revision;
+      if (Present == Needed)
+        continue;
+      Result.Outcome = StoreOutcome::Conflict;
+    }
+    if (Result.Outcome == StoreOutcome::Conflict) {
+      for (const auto &[Key, Needed] : Change.Conditions)
+        if (Items.count(Key) != 0)
+          Result.Items.push_back({Key, Items[Key].Value, Items[Key].Revision});
+      return Result;
+    }
+    size_t Entries =
+        Change.Conditions.size() + Change.Puts.size() + Change.Removes.size();
+    if (Entries > MaxTransactionEntries) {
+      Result.Outcome = StoreOutcome::Invalid;
+      return Result;
+    }
+    for (const StorePut &Put : Change.Puts)
+      if (Put.Lease != 0 && Leases.count(Put.Lease) == 0) {
+        Result.Outcome = StoreOutcome::NotFound;
+        return Result;
+      }
+    ++Revision;
+    for (const StorePut &Put : Change.Puts) {
+      Items[Put.Key] = {Put.Value, Revision, Put.Lease};
+      History.push_back({Put.Key, Put.Value, Revision, false});
+    }
+    for (const std::string &Key : Change.Removes)
+      erase(Key);
+    Result.Outcome = StoreOutcome::Done;
+    Result.Revision = Revision;
+    return Result;
+  }
+
+  /// Writes without a condition, as the operator and the endpoints do.
+  void put(const std::string &Key, const std::string &Value) {
+    StoreTransaction Change;
+    Change.Puts = {{Key, Value, 0}};
+    commit(Change);
+  }
+  void remove(const std::string &Key) {
+    ++Revision;
+    erase(Key);
+  }
+
+  StoreItems list(const std::string &Prefix) {
+    expire();
+    StoreItems Result{StoreOutcome::Done, {}, Revision};
+    for (auto It = Items.lower_bound(Prefix);
+         It != Items.end() && It->first.compare(0, Prefix.size(), Prefix) == 0;
+         ++It)
+      Result.Items.push_back(
+          {It->first, It->second.Value, It->second.Revision});
+    return Result;
+  }
+
+  StoreItems changes(const std::string &Prefix, int64_t After) {
+    expire();
+    if (After < OldestHistory)
+      return {StoreOutcome::HistoryGone, {}, Revision};
+    StoreItems Result{StoreOutcome::Done, {}, Revision};
+    for (const StoreItem &Item : History)
+      if (Item.Revision > After &&
+          Item.Key.compare(0, Prefix.size(), Prefix) == 0)
+        Result.Items.push_back(Item);
+    return Result;
+  }
+
+  int64_t grant(Duration Ttl) {
+    Leases[++NextLease] = {Ttl, Clock.now() + Ttl};
+    return NextLease;
+  }
+  bool renew(int64_t Lease) {
+    expire();
+    auto Found = Leases.find(Lease);
+    if (Found == Leases.end())
+      return false;
+    Found->second.second = Clock.now() + Found->second.first;
+    return true;
+  }
+  bool end(int64_t Lease) {
+    if (Leases.erase(Lease) == 0)
+      return false;
+    std::vector<std::string> Gone;
+    for (const auto &[Key, Item] : Items)
+      if (Item.Lease == Lease)
+        Gone.push_back(Key);
+    ++Revision;
+    for (const std::string &Key : Gone)
+      erase(Key);
+    return true;
+  }
+
+  void dropHistory() {
+    History.clear();
+    OldestHistory = Revision;
+  }
+
+  bool has(const std::string &Key) {
+    expire();
+    return Items.count(Key) != 0;
+  }
+
+private:
+  void erase(const std::string &Key) {
+    if (Items.erase(Key) != 0)
+      History.push_back({Key, "", Revision, true});
+  }
+  void expire() {
+    std::vector<int64_t> Ended;
+    for (const auto &[Lease, Value] : Leases)
+      if (Value.second <= Clock.now())
+        Ended.push_back(Lease);
+    for (int64_t Lease : Ended)
+      end(Lease);
+  }
+
+  FakeClock &Clock;
+  std::map<std::string, Entry> Items;
+  std::vector<StoreItem> History;
+  std::map<int64_t, std::pair<Duration, TimePoint>> Leases;
+  int64_t Revision = 1;
+  int64_t OldestHistory = 0;
+  int64_t NextLease = 100;
+};
+
+/// The store as one process reaches it, with faults.
+class FakeStoreClient : public Store {
+public:
+  FakeStoreClient(FakeClock &Network, Executor &Own, FakeStore &Shared)
+      : Network(Network), Own(Own), Shared(Shared) {}
+
+  bool IsSilent = false;   ///< No answer; nothing is done.
+  bool IsRefusing = false; ///< Answers that nothing was done.
+  /// Number of coming writes that are done without an answer.
+  int LoseAnswers = 0;
+  /// Number of coming writes that have no answer and are done this much later.
+  int DelayWrites = 0;
+  Duration WriteDelay{3000};
+  int Calls = 0;
+
+  void read(const std::string &Key, Duration Timeout,
+            std::function<void(StoreItems)> Done) override {
+    call<StoreItems>(Timeout, std::move(Done), [this, Key] {
+      StoreItems All = Shared.list(Key);
+      StoreItems One{StoreOutcome::NotFound, {}, All.AtRevision};
+      for (const StoreItem &Item : All.Items)
+        if (Item.Key == Key)
+          One = {StoreOutcome::Done, {Item}, All.AtRevision};
+      return One;
+    });
+  }
+  void list(const std::string &Prefix, Duration Timeout,
+            std::function<void(StoreItems)> Done) override {
+    call<StoreItems>(Timeout, std::move(Done),
+                     [this, Prefix] { return Shared.list(Prefix); });
+  }
+  void watch(const std::string &Prefix, int64_t Revision, Duration Wait,
+             std::function<void(StoreItems)> Done) override {
+    ++Calls;
+    poll(Prefix, Revision, Network.now() + Wait, std::move(Done));
+  }
+  void commit(const StoreTransaction &Change, Duration Timeout,
+              std::function<void(CommitResult)> Done) override {
+    bool IsLost = LoseAnswers > 0;
+    bool IsLate = !IsLost && DelayWrites > 0;
+    if (IsLost) {
+      --LoseAnswers;
+      Network.after(Latency, [this, Change] { Shared.commit(Change); });
+    }
+    if (IsLate) {
+      --DelayWrites;
+      Network.after(WriteDelay, [this, Change] { Shared.commit(Change); });
+    }
+    if (IsLost || IsLate) {
+      ++Calls;
+      Own.after(Timeout, [Done = std::move(Done)] { Done({}); });
+      return;
+    }
+    call<CommitResult>(Timeout, std::move(Done),
+                       [this, Change] { return Shared.commit(Change); });
+  }
+  void grantLease(Duration Ttl, Duration Timeout,
+                  std::function<void(LeaseResult)> Done) override {
+    call<LeaseResult>(Timeout, std::move(Done), [this, Ttl] {
+      return LeaseResult{StoreOutcome::Done, Shared.grant(Ttl), Ttl};
+    });
+  }
+  void renewLease(int64_t Lease, Duration Timeout,
+                  std::function<void(LeaseResult)> Done) override {
+    call<LeaseResult>(Timeout, std::move(Done), [this, Lease] {
+      bool IsThere = Shared.renew(Lease);
+      return LeaseResult{IsThere ? StoreOutcome::Done : StoreOutcome::NotFound,
+                         Lease, Duration(0)};
+    });
+  }
+  void endLease(int64_t Lease, Duration Timeout,
+                std::function<void(LeaseResult)> Done) override {
+    call<LeaseResult>(Timeout, std::move(Done), [this, Lease] {
+      Shared.end(Lease);
+      return LeaseResult{StoreOutcome::Done, Lease, Duration(0)};
+    });
+  }
+
+private:
+  static constexpr Duration Latency{2};
+  static constexpr Duration PollInterval{5};
+
+  template <typename Result, typename Body>
+  void call(Duration Timeout, std::function<void(Result)> Done, Body Work) {
+    ++Calls;
+    if (IsSilent)
+      return Own.after(Timeout, [Done = std::move(Done)] { Done(Result()); });
+    if (IsRefusing)
+      return Own.after(Latency, [Done = std::move(Done)] {
+        Result Refused;
+        Refused.Outcome = StoreOutcome::Refused;
+        Done(Refused);
+      });
+    Network.after(Latency, [this, Done = std::move(Done), Work]() mutable {
+      Own.after(Latency,
+                [Done = std::move(Done), Answer = Work()] { Done(Answer); });
+    });
+  }
+
+  void poll(const std::string &Prefix, int64_t Revision, TimePoint End,
+            std::function<void(StoreItems)> Done) {
+    Network.after(PollInterval, [=, Done = std::move(Done)]() mutable {
+      if (IsSilent || IsRefusing)
+        return Own.after(Duration(500), [Done] { Done({}); });
+      StoreItems Found = Shared.changes(Prefix, Revision);
+      bool IsOver = Found.Outcome != StoreOutcome::Done ||
+                    !Found.Items.empty() || Network.now() >= End;
+      if (!IsOver)
+        return poll(Prefix, Revision, End, std::move(Done));
+      Own.after(Latency, [Done, Found] { Done(Found); });
+    });
+  }
+
+  FakeClock &Network;
+  Executor &Own;
+  FakeStore &Shared;
+};
+
+} // namespace teaselwalk::cell::testing
--- /dev/null
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -0,0 +1,276 @@
+#pragma once
+
+#include "fake_endpoints.hpp"
+#include "fake_store.hpp"
+
+#include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/cell.hpp"
+
+#include <memory>
+#include <sstream>
+#include <vector>
+
+namespace teaselwalk::cell::testing {
+
+constexpr const char *EntryPrefix = "list/";
+constexpr const char *OrdersPrefix = "orders/";
+constexpr const char *ConfigKey = "orders/config";
+constexpr const char *OutPrefix = "orders/out/";
+
+/// Allows every endpoint unless told otherwise.
+class FakeAdvisor : public Advisor {
+public:
+  FakeAdvisor(FakeClock &Network, Executor &Own) : Network(Network), Own(Own) {}
+
+  int Questions = 0;
+  std::set<EndpointId> Forbidden;
+
+  void ask(const protocol::Address &, const StepKey &,
+           const std::vector<EndpointId> &Candidates, Duration,
+           std::function<void(Advice)> Done) override {
+    ++Questions;
+    Advice Answer{AdviceOutcome::Answered, {}, Duration(2500)};
+    for (const EndpointId &Id : Candidates)
+      if (Forbidden.count(Id) == 0)
+        Answer.Tickets.emplace_back(Id, "ticket");
+    Network.after(Duration(20), [this, Done, Answer] {
+      Own.after(Duration(1), [Done, Answer] { Done(Answer); });
+    });
+  }
+
+private:
+  FakeClock &Network;
+  Executor &Own;
+};
+
+class FakeWorld;
+
+/// Questions to the other processes reach them after a moment.
+class FakePeers : public PeerCalls {
+public:
+  FakePeers(FakeWorld &World, Executor &Own) : World(World), Own(Own) {}
+  void job(const protocol::Address &To, const JobId &Id,
+           std::function<void(JobAnswer)> Done) override;
+  void pending(const protocol::Address &To, const std::string &Queue,
+               std::function<void(PendingAnswer)> Done) override;
+
+private:
+  FakeWorld &World;
+  Executor &Own;
+};
+
+/// One process with its view of everything outside.
+struct FakeProcess {
+  FakeProcess(FakeWorld &World, int Number);
+
+  FakeProcessClock Clock;
+  FakeStoreClient Store;
+  FakeEndpointClient Workers;
+  FakeAdvisor Service;
+  FakePeers Peers;
+  FakeRecorder Log;
+  std::unique_ptr<Cell> Decisions;
+};
+
+/// A store, endpoints and processes in virtual time.
+class FakeWorld {
+public:
+  FakeClock Clock;
+  FakeStore Store{Clock};
+  FakeCluster Cluster{Clock};
+  std::vector<std::unique_ptr<FakeProcess>> Processes;
+  Configuration Config;
+
+  FakeWorld() {
+    Config.Version = 1;
+    Config.Queues.push_back({"batch", "host", "/batch/", false, {}});
+    Config.Queues.back().Policy.Service = "pool";
+    Config.Queues.back().Policy.MaxAttempts = 2;
+    Config.Queues.back().Policy.Target = Duration(5000);
+    Config.Teams.push_back({"team", {"key"}, 1, {}});
+    Config.index();
+    Store.put(ConfigKey, "1");
+  }
+
+  void addEndpoints(int Count, Resources Capacity = {8000, 8000, 0, 0, 0}) {
+    for (int I = 0; I < Count; ++I) {
+      EndpointInfo Info;
+      Info.Id = EndpointId("e" + std::to_string(Cluster.Machines.size()));
+      Info.Address = {"10.0.0.1", 1};
+      Info.DataCentre = I % 2 == 0 ? "dc-a" : "dc-b";
+      Info.Service = "pool";
+      Info.Capacity = Capacity;
+      Info.Labels = {"a", "r" + std::to_string(I / 4)};
+      FakeCluster::Machine &M = Cluster.Machines[Info.Id];
+      M.Info = Info;
+      M.Born = Clock.now();
+      M.BornMs = Clock.wallMillis();
+      M.Info.BornMs = M.BornMs;
+      list(Info.Id);
+    }
+  }
+
+  /// Puts an endpoint into the discovery list.
+  void list(const EndpointId &Id) {
+    std::string State =
+        Cluster.Machines[Id].Info.Draining ? "draining" : "ready";
+    Store.put(EntryPrefix + Id.str(), State);
+  }
+  void unlist(const EndpointId &Id) { Store.remove(EntryPrefix + Id.str()); }
+
+  void addProcesses(int Count) {
+    for (int I = 0; I < Count; ++I) {
+      Processes.push_back(std::make_unique<FakeProcess>(
+          *this, static_cast<int>(Processes.size())));
+      Processes.back()->Decisions->start();
+    }
+  }
+
+  void kill(size_t Index) {
+    Processes[Index]->Clock.die();
+    Dead.push_back(std::move(Processes[Index]));
+  }
+  /// A new process in place of the killed one.
+  void revive(size_t Index) {
+    Processes[Index] = std::make_unique<FakeProcess>(
+        *this, static_cast<int>(Index) + 100 * ++Revivals);
+    Processes[Index]->Decisions->start();
+  }
+
+  size_t ownerIndex() const {
+    for (size_t I = 0; I < Processes.size(); ++I)
+      if (Processes[I] && Processes[I]->Decisions->isOwner())
+        return I;
+    return Processes.size();
+  }
+
+  JobSpec job(int Number, std::vector<StepSpec> Steps) const {
+    std::ostringstream Id;
+    Id << std::hex;
+    Id.width(16);
+    Id.fill('0');
+    Id << Number;
+    JobSpec Job;
+    Job.Id = JobId(Id.str());
+    Job.Payload = "work";
+    Job.Steps = std::move(Steps);
+    return Job;
+  }
+
+  static StepSpec step(int Tasks, int64_t MilliCpu = 1000,
+                       std::vector<int32_t> After = {}) {
+    StepSpec Step;
+    Step.Tasks = Tasks;
+    Step.Need.MilliCpu = MilliCpu;
+    Step.Need.MemoryMb = 100;
+    Step.Estimate = Duration(1000);
+    Step.After = std::move(After);
+    return Step;
+  }
+
+  /// Sends a request through a process and returns where the answer will be.
+  std::shared_ptr<std::vector<CallerAnswer>>
+  send(size_t Process, CallerAction Action, const JobSpec &Job,
+       const std::string &Key = "key") {
+    auto Answers = std::make_shared<std::vector<CallerAnswer>>();
+    Cluster.Jobs[Job.Id] = Job;
+    CallerRequest Request;
+    Request.Action = Action;
+    Request.Host = "host";
+    Request.Path =
+        "/batch/" + (Action == CallerAction::Pending ? "" : Job.Id.str());
+    Request.Key = Key;
+    Request.Arrived = Clock.now();
+    Submitted = Job;
+    Request.Body = Job.Id.str();
+    Processes[Process]->Decisions->handle(
+        Request,
+        [Answers](const CallerAnswer &Answer) { Answers->push_back(Answer); });
+    return Answers;
+  }
+
+  /// The state that callers see, asked through \p Process.
+  CallerAnswer status(size_t Process, const JobSpec &Job) {
+    auto Answers = send(Process, CallerAction::Status, Job);
+    Clock.runFor(Duration(1300));
+    return Answers->empty() ? CallerAnswer{} : Answers->front();
+  }
+
+  std::string violations() const {
+    std::string Text;
+    for (const std::string &Line : Cluster.Violations)
+      Text += Line + "; ";
+    return Text;
+  }
+
+  JobSpec Submitted;
+
+private:
+  int Revivals = 0;
+  /// Killed processes: messages under way still refer to them.
+  std::vector<std::unique_ptr<FakeProcess>> Dead;
+};
+
+inline void FakePeers::job(const protocol::Address &To, const JobId &Id,
+                           std::function<void(JobAnswer)> Done) {
+  for (auto &Other : World.Processes)
+    if (Other && Other->Decisions->isOwner()) {
+      JobAnswer Found = Other->Decisions->jobHere(Id);
+      return Own.after(Duration(2), [Done, Found] { Done(Found); });
+    }
+  (void)To;
+  Own.after(Duration(500), [Done] { Done({}); });
+}
+
+inline void FakePeers::pending(const protocol::Address &To,
+                               const std::string &Queue,
+                               std::function<void(PendingAnswer)> Done) {
+  for (auto &Other : World.Processes)
+    if (Other && Other->Decisions->isOwner()) {
+      PendingAnswer Found = Other->Decisions->pendingHere(Queue);
+      return Own.after(Duration(2), [Done, Found] { Done(Found); });
+    }
+  (void)To;
+  Own.after(Duration(500), [Done] { Done({}); });
+}
+
+inline FakeProcess::FakeProcess(FakeWorld &World, int Number)
+    : Clock(World.Clock), Store(World.Clock, Clock, World.Store),
+      Workers(World.Clock, Clock, World.Cluster), Service(World.Clock, Clock),
+      Peers(World, Clock) {
+  CellOptions Options;
+  Options.Name = "p" + std::to_string(Number);
+  Options.Process = Options.Name + "#" + std::to_string(Number);
+  Options.PeerAddress = {"10.1.0.1", static_cast<uint16_t>(1 + Number % 100)};
+  Options.ClaimDelay = Duration(Number % 100);
+  Options.Owner.EndpointPrefix = EntryPrefix;
+  Options.Owner.MaxTaskLease = World.Cluster.MaxLease;
+  Options.Owner.DecodeEndpoint = [&World](const StoreItem &Item) {
+    EndpointId Id(Item.Key.substr(std::string(EntryPrefix).size()));
+    if (Item.Value != "ready" && Item.Value != "draining")
+      throw Error("not an entry");
+    EndpointInfo Info = World.Cluster.Machines.at(Id).Info;
+    Info.Draining = Item.Value == "draining";
+    return Info;
+  };
+  Options.InstructionPrefix = OrdersPrefix;
+  Options.ApplyInstruction = [&World](const StoreItem &Item,
+                                      Instructions &Target) {
+    if (Item.Key == ConfigKey)
+      Target.Config = World.Config;
+    else if (Item.Deleted)
+      Target.EvacuatedDataCentres.erase(
+          Item.Key.substr(std::string(OutPrefix).size()));
+    else
+      Target.EvacuatedDataCentres.insert(
+          Item.Key.substr(std::string(OutPrefix).size()));
+  };
+  Options.DecodeSubmission = [&World](const std::string &Body) {
+    return World.Cluster.Jobs.at(JobId(Body));
+  };
+  Decisions = std::make_unique<Cell>(
+      Surroundings{Clock, Store, Workers, Service, Peers, Log},
+      std::move(Options));
+}
+
+} // namespace teaselwalk::cell::testing
