--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	bash scripts/demo.sh $(BUILD)/teaselwalk
 
 format:
-	find include src examples -name '*.[ch]pp' | xargs clang-format -i
+	find include src platform examples -name '*.[ch]pp' | xargs clang-format -i
 
 lint: build
 	bash scripts/lint.sh $(BUILD) $(JOBS)
--- a/include/teaselwalk/cell/advice_desk.hpp
+++ b/include/teaselwalk/cell/advice_desk.hpp
@@ -41,14 +41,17 @@
     protocol::Address Through;
     bool IsBusy = false;
     TimePoint AvoidUntil;
+    Duration Pause{0}; ///< After the next question that is lost.
   };
   struct Entry {
     Question Asked;
     Callback Done;
     TimePoint Since;
+    int32_t Losses = 0;
   };
 
   void dispatch();
+  void noteOutcome(Lane &Used, AdviceOutcome Outcome) const;
   std::shared_ptr<Lane> freeLane(bool IsLong);
   void send(const std::shared_ptr<Lane> &Free, Entry Next);
 
@@ -57,6 +60,7 @@
   Recorder &Log;
   std::vector<std::shared_ptr<Lane>> Lanes;
   std::list<Entry> Waiting;
+  bool RetryScheduled = false;
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
--- a/include/teaselwalk/cell/follower.hpp
+++ b/include/teaselwalk/cell/follower.hpp
@@ -45,7 +45,7 @@
   void list();
   void watch();
   void again(Duration Delay, void (Follower::*Step)());
-  void onList(StoreItems Result, TimePoint Asked);
+  void onList(const StoreItems &Result, TimePoint Asked);
   void onEvents(const StoreItems &Result, TimePoint Asked);
   void removeMissing(const StoreItems &Listed);
   void apply(const StoreItem &Item);
--- a/include/teaselwalk/cell/leadership.hpp
+++ b/include/teaselwalk/cell/leadership.hpp
@@ -59,9 +59,9 @@
   void claim();
   void claimWithLease(int64_t NewLease);
   void commitClaim(int64_t NewLease, const StoreItems &Guard);
-  void onClaimed(int64_t NewLease, GuardRecord Record,
+  void onClaimed(int64_t NewLease, const GuardRecord &Record,
                  const CommitResult &Result);
-  void resolveClaim(int64_t NewLease, GuardRecord Record, int Attempt);
+  void resolveClaim(int64_t NewLease, const GuardRecord &Record, int Attempt);
   void gain(int64_t NewLease, const GuardRecord &Record, int64_t Revision);
   void giveUpClaim(int64_t NewLease);
   void renew();
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -47,8 +47,8 @@
 class Owner {
 public:
   Owner(Executor &Clock, Store &Source, Endpoints &Workers, Advisor &Service,
-        Recorder &Log, OwnerOptions Options, OwnerHooks Hooks, GuardRecord Held,
-        int64_t Revision);
+        Recorder &Log, OwnerOptions Options, OwnerHooks Hooks,
+        const GuardRecord &Held, int64_t Revision);
 
   /// Reads the stored state and then begins to act.
   void start();
@@ -112,8 +112,8 @@
   // owner_renewals.cpp
   void renewLater(const EndpointId &Id, Duration Delay);
   void renew(const EndpointId &Id, bool Waits);
-  void onRenewed(const EndpointId &Id, RenewResult Result, uint64_t Number,
-                 int64_t Token, TimePoint Sent, bool Waited);
+  void onRenewed(const EndpointId &Id, const RenewResult &Result,
+                 uint64_t Number, int64_t Token, TimePoint Sent, bool Waited);
   bool noteLife(EndpointState &Endpoint, const RenewResult &Result);
   void noteEnds(EndpointState &Endpoint, const std::vector<EndRow> &Ends);
   void noteEnd(EndpointState &Endpoint, const EndRow &End);
@@ -163,7 +163,7 @@
   void askAdvice(const JobState &Job, const StepKey &Key, StepAdvice &Advice,
                  int32_t Wanted);
   void onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
-                const std::string &Queue, TimePoint Sent, Advice Result);
+                const std::string &Queue, TimePoint Sent, const Advice &Result);
 
   const QueuePolicy &policyOf(const JobState &Job) const;
   JobState *jobOf(const JobId &Id);
--- a/src/teaselwalk/cell/advice_desk.cpp
+++ b/src/teaselwalk/cell/advice_desk.cpp
@@ -10,10 +10,15 @@
 constexpr Duration LongQuestion{150};
 /// Of the lanes, this part is kept for short questions.
 constexpr size_t LanesPerShortLane = 4;
-/// Added to the expected time of a question before it counts as lost.
-constexpr Duration AnswerSlack{600};
-/// A lane whose question was lost rests this long.
-constexpr Duration LanePause{1500};
+/// Added to the expected time of a question before it counts as lost: the way
+/// there and back, and other lanes that are served between.
+constexpr Duration AnswerSlack{350};
+/// A lane whose question was lost rests this long, twice as long each time.
+constexpr Duration FirstPause{1000};
+constexpr Duration LongestPause{8000};
+constexpr Duration DispatchRetry{200};
+/// A lost question is asked again through another lane so many times.
+constexpr int32_t MaxLosses = 2;
 
 } // namespace
 
@@ -26,7 +31,7 @@
     auto Kept = std::find_if(Lanes.begin(), Lanes.end(), Same);
     Next.push_back(Kept != Lanes.end()
                        ? *Kept
-                       : std::make_shared<Lane>(Lane{Through, false, {}}));
+                       : std::make_shared<Lane>(Lane{Through, false, {}, {}}));
   }
   Lanes.swap(Next);
   dispatch();
@@ -37,7 +42,7 @@
     return Asked.Deadline < Other.Asked.Deadline;
   };
   auto At = std::find_if(Waiting.begin(), Waiting.end(), IsLater);
-  Waiting.insert(At, {std::move(Asked), std::move(Done), Clock.now()});
+  Waiting.insert(At, {std::move(Asked), std::move(Done), Clock.now(), 0});
   dispatch();
 }
 
@@ -63,6 +68,25 @@
     It = Waiting.erase(It);
     send(Free, std::move(Next));
   }
+  if (Waiting.empty() || RetryScheduled)
+    return;
+  // Lanes come back without an event when their rest is over.
+  RetryScheduled = true;
+  Clock.after(DispatchRetry, [this, Token = std::weak_ptr<char>(Alive)] {
+    if (Token.expired())
+      return;
+    RetryScheduled = false;
+    dispatch();
+  });
+}
+
+void AdviceDesk::noteOutcome(Lane &Used, AdviceOutcome Outcome) const {
+  if (Outcome == AdviceOutcome::Answered) {
+    Used.Pause = Duration(0);
+    return;
+  }
+  Used.Pause = std::clamp<Duration>(Used.Pause * 2, FirstPause, LongestPause);
+  Used.AvoidUntil = Clock.now() + Used.Pause;
 }
 
 void AdviceDesk::send(const std::shared_ptr<Lane> &Free, Entry Next) {
@@ -76,10 +100,13 @@
                 if (Token.expired())
                   return;
                 Free->IsBusy = false;
-                if (Result.Outcome != AdviceOutcome::Answered)
-                  Free->AvoidUntil = Clock.now() + LanePause;
+                noteOutcome(*Free, Result.Outcome);
                 Log.time("advice_call", Clock.now() - Asked);
-                Sent->Done(std::move(Result));
+                if (Result.Outcome == AdviceOutcome::Unknown &&
+                    ++Sent->Losses <= MaxLosses)
+                  Waiting.push_front(std::move(*Sent));
+                else
+                  Sent->Done(std::move(Result));
                 dispatch();
               });
 }
--- /dev/null
+++ b/src/teaselwalk/cell/advice_desk_test.cpp
@@ -0,0 +1,94 @@
+#include "teaselwalk/cell/advice_desk.hpp"
+
+#include "testing/fake_clock.hpp"
+
+#include <gtest/gtest.h>
+
+namespace teaselwalk::cell::testing {
+namespace {
+
+/// Notes through which process each question goes; answers when told.
+class ManualAdvisor : public Advisor {
+public:
+  void ask(const protocol::Address &Through, const StepKey &Step,
+           const std::vector<EndpointId> &, Duration,
+           std::function<void(Advice)> Done) override {
+    Asked.push_back({Through.Port, Step.Job.str(), std::move(Done)});
+  }
+  struct Row {
+    uint16_t Port;
+    std::string Job;
+    std::function<void(Advice)> Done;
+  };
+  std::vector<Row> Asked;
+};
+
+class AdviceDeskTest : public ::testing::Test {
+protected:
+  void ask(const char *Job, int64_t ExpectedMs, int64_t Deadline) {
+    Question Next;
+    Next.Step = {JobId(Job), 0, 0};
+    Next.Expected = Duration(ExpectedMs);
+    Next.Deadline = timeAt(Deadline);
+    Desk.ask(std::move(Next), [this](const Advice &Answer) {
+      Outcomes.push_back(Answer.Outcome);
+    });
+  }
+
+  FakeClock Clock;
+  ManualAdvisor Service;
+  FakeRecorder Log;
+  AdviceDesk Desk{Clock, Service, Log};
+  std::vector<AdviceOutcome> Outcomes;
+};
+
+// Guards against two questions of one process at a time, which the service
+// works on one after the other.
+TEST_F(AdviceDeskTest, AsksOneQuestionPerProcess) {
+  Desk.setLanes({{}, {"p", 1}});
+  ask("a", 20, 5000);
+  ask("b", 20, 5000);
+  ask("c", 20, 5000);
+  ASSERT_EQ(Service.Asked.size(), 2U);
+  EXPECT_NE(Service.Asked[0].Port, Service.Asked[1].Port);
+  Service.Asked[0].Done({AdviceOutcome::Answered, {}, {}});
+  EXPECT_EQ(Service.Asked.size(), 3U);
+}
+
+// Guards against a short question that waits behind long ones.
+TEST_F(AdviceDeskTest, KeepsALaneForShortQuestions) {
+  Desk.setLanes({{}, {"p", 1}, {"p", 2}});
+  for (const char *Job : {"a", "b", "c", "d"})
+    ask(Job, 500, 5000);
+  EXPECT_EQ(Service.Asked.size(), 2U);
+  ask("short", 20, 9000);
+  ASSERT_EQ(Service.Asked.size(), 3U);
+  EXPECT_EQ(Service.Asked[2].Job, "short");
+}
+
+// Guards against a process that cannot reach the service and loses one
+// question after the other.
+TEST_F(AdviceDeskTest, AsksAgainThroughAnotherProcess) {
+  Desk.setLanes({{}, {"p", 1}});
+  ask("a", 20, 5000);
+  uint16_t First = Service.Asked[0].Port;
+  Service.Asked[0].Done({});
+  EXPECT_TRUE(Outcomes.empty());
+  ASSERT_EQ(Service.Asked.size(), 2U);
+  EXPECT_NE(Service.Asked[1].Port, First);
+  Service.Asked[1].Done({AdviceOutcome::Answered, {}, {}});
+  EXPECT_EQ(Outcomes, std::vector<AdviceOutcome>{AdviceOutcome::Answered});
+}
+
+// Guards against questions that wait for ever once all lanes rest.
+TEST_F(AdviceDeskTest, ComesBackToALaneThatRested) {
+  Desk.setLanes({{}});
+  ask("a", 20, 5000);
+  Service.Asked[0].Done({});
+  EXPECT_EQ(Service.Asked.size(), 1U);
+  Clock.runFor(Duration(1500));
+  EXPECT_EQ(Service.Asked.size(), 2U);
+}
+
+} // namespace
+} // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/follower.cpp
+++ b/src/teaselwalk/cell/follower.cpp
@@ -25,14 +25,15 @@
 
 void Follower::list() {
   TimePoint Asked = Clock.now();
-  Source.list(Options.Prefix, Options.ListTimeout,
-              [this, Asked, Token = std::weak_ptr<char>(Alive)](StoreItems R) {
-                if (!Token.expired())
-                  onList(std::move(R), Asked);
-              });
+  Source.list(
+      Options.Prefix, Options.ListTimeout,
+      [this, Asked, Token = std::weak_ptr<char>(Alive)](const StoreItems &R) {
+        if (!Token.expired())
+          onList(R, Asked);
+      });
 }
 
-void Follower::onList(StoreItems Result, TimePoint Asked) {
+void Follower::onList(const StoreItems &Result, TimePoint Asked) {
   if (Result.Outcome != StoreOutcome::Done) {
     failed("list", Result.Outcome);
     return again(Options.Retry, &Follower::list);
--- a/src/teaselwalk/cell/leadership.cpp
+++ b/src/teaselwalk/cell/leadership.cpp
@@ -133,16 +133,16 @@
                 }));
 }
 
-void Leadership::onClaimed(int64_t NewLease, GuardRecord Record,
+void Leadership::onClaimed(int64_t NewLease, const GuardRecord &Record,
                            const CommitResult &Result) {
   if (Result.Outcome == StoreOutcome::Done)
     return gain(NewLease, Record, Result.Revision);
   if (Result.Outcome == StoreOutcome::Unknown)
-    return resolveClaim(NewLease, std::move(Record), 0);
+    return resolveClaim(NewLease, Record, 0);
   giveUpClaim(NewLease);
 }
 
-void Leadership::resolveClaim(int64_t NewLease, GuardRecord Record,
+void Leadership::resolveClaim(int64_t NewLease, const GuardRecord &Record,
                               int Attempt) {
   Source.read(
       GuardKey, CallTimeout,
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -99,14 +99,14 @@
   Log.count("advice_asked");
   std::vector<EndpointId> Named = Asked.Candidates;
   Desk.ask(std::move(Asked), guarded([this, Key, Named, Queue = Job.Spec.Queue,
-                                      Now](cell::Advice Result) {
-             onAdvice(Key, Named, Queue, Now, std::move(Result));
+                                      Now](const cell::Advice &Result) {
+             onAdvice(Key, Named, Queue, Now, Result);
            }));
 }
 
 void Owner::onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
                      const std::string &Queue, TimePoint Sent,
-                     cell::Advice Result) {
+                     const cell::Advice &Result) {
   auto Found = Advices.find(Key);
   TimePoint Now = Clock.now();
   Log.event(EventName::AdviceAnswered,
@@ -127,9 +127,8 @@
     return requestPass();
   }
   // The service decides near the end of the call.
-  for (auto &[Id, Text] : Result.Tickets)
-    Advice.Allowed[Id] = {std::move(Text),
-                          Now + Result.Validity - TicketMargin};
+  for (const auto &[Id, Text] : Result.Tickets)
+    Advice.Allowed[Id] = {Text, Now + Result.Validity - TicketMargin};
   for (const EndpointId &Id : Asked)
     if (Advice.Allowed.count(Id) == 0)
       Advice.Refused.insert(Id);
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -41,7 +41,7 @@
 
 Owner::Owner(Executor &Clock, Store &Source, Endpoints &Workers,
              Advisor &Service, Recorder &Log, OwnerOptions Given,
-             OwnerHooks Calls, GuardRecord Held, int64_t Revision)
+             OwnerHooks Calls, const GuardRecord &Held, int64_t Revision)
     : Clock(Clock), Source(Source), Workers(Workers), Log(Log),
       Options(std::move(Given)), Hooks(std::move(Calls)),
       Lease(std::min(TaskLease, Options.MaxTaskLease)), Epoch(Held.Epoch),
@@ -100,10 +100,11 @@
     int64_t Age =
         std::max<int64_t>(0, Clock.wallMillis() - Job.Spec.AcceptedMs);
     Duration Chain = longestChain(Job.Spec);
-    Job.Objective = Clock.now() - Duration(Age) +
-                    Duration(static_cast<int64_t>(
-                        Chain.count() * Job.Spec.Policy.SlackFactor)) +
-                    Job.Spec.Policy.Target;
+    Job.Objective =
+        Clock.now() - Duration(Age) +
+        Duration(static_cast<int64_t>(static_cast<double>(Chain.count()) *
+                                      Job.Spec.Policy.SlackFactor)) +
+        Job.Spec.Policy.Target;
     Jobs[Id] = std::move(Added);
     restoreAssignments(Job);
     if (!Job.isEnded())
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -69,13 +69,14 @@
   Log.count("renewals");
   Workers.renew(Endpoint.Info, Order,
                 guarded([this, Id, Number, Token = Order.Token, Now,
-                         Waits](RenewResult Result) {
-                  onRenewed(Id, std::move(Result), Number, Token, Now, Waits);
+                         Waits](const RenewResult &Result) {
+                  onRenewed(Id, Result, Number, Token, Now, Waits);
                 }));
 }
 
-void Owner::onRenewed(const EndpointId &Id, RenewResult Result, uint64_t Number,
-                      int64_t Token, TimePoint Sent, bool Waited) {
+void Owner::onRenewed(const EndpointId &Id, const RenewResult &Result,
+                      uint64_t Number, int64_t Token, TimePoint Sent,
+                      bool Waited) {
   auto Found = Table.find(Id);
   if (Found == Table.end())
     return;
--- a/src/teaselwalk/node/core_loop.cpp
+++ b/src/teaselwalk/node/core_loop.cpp
@@ -32,7 +32,8 @@
 }
 
 bool CoreLoop::deliver(std::function<void()> Work) {
-  while (!Ring.tryPush(std::move(Work))) {
+  // A push that fails leaves the work unchanged.
+  while (!Ring.tryPush(std::move(Work))) { // NOLINT(bugprone-use-after-move)
     if (Ring.closed())
       return false;
     std::this_thread::sleep_for(FullPause);
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -76,17 +76,15 @@
         Service(OwnAdvice, Peers),
         Decisions({Core, Store, Workers, Service, Peers, Events}, options()),
         Callers(serverOptions(Given.Callers, Given.MaxDescriptors),
-                [this](const http::Request &Message, http::Responder To) {
-                  onCaller(Message, std::move(To));
-                }),
+                [this](const http::Request &Message,
+                       const http::Responder &To) { onCaller(Message, To); }),
         Probes(serverOptions(Given.Readiness, Given.MaxDescriptors),
                [this](const http::Request &, const http::Responder &To) {
                  To.send({isReady() ? 200 : 503, "{}"});
                }),
         PeerServer(serverOptions(Given.Peers, Given.MaxDescriptors),
-                   [this](const http::Request &Message, http::Responder To) {
-                     onPeer(Message, std::move(To));
-                   }) {
+                   [this](const http::Request &Message,
+                          const http::Responder &To) { onPeer(Message, To); }) {
     runtime::logEvent(runtime::Level::Info, EventName::ProcessStarted,
                       {{"name", Given.Name},
                        {"data_centre", Given.DataCentre},
@@ -163,7 +161,7 @@
     return !Draining && Age < ReadinessAge;
   }
 
-  void onCaller(const http::Request &Message, http::Responder To) {
+  void onCaller(const http::Request &Message, const http::Responder &To) {
     auto Request = adapter::decodeRequest(Message, Core.now());
     cell::CallerAction Action = Request.Action;
     bool IsQueued = Core.offer([this, Request = std::move(Request), To] {
@@ -179,7 +177,7 @@
     To.send(adapter::encodeAnswer(Action, Full));
   }
 
-  void onPeer(const http::Request &Message, http::Responder To) {
+  void onPeer(const http::Request &Message, const http::Responder &To) {
     std::string Path = http::pathOf(Message);
     if (Path == "/metrics")
       return To.send({200, Registry.render(), "text/plain"});
