cell: endpoints learned to be slow are avoided, tasks that stand still are moved

Cause: tasks on endpoints where work stands still never ended, although the endpoint answers well. Change: lists of runs give the progress of each task; an endpoint's slowness is learned from it and from run times, against what the queue's runs take. Test MovesTasksThatStandStill fails before. SIGHUP checks the settings file.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -138,6 +138,15 @@
   bool mayStartOn(const EndpointState &Endpoint, const JobState &Job) const;
   void avoid(EndpointState &Endpoint, Duration First);
 
+  // owner_progress.cpp
+  Duration usualLength(const JobState &Job, const StepSpec &Step) const;
+  static void noteSlowness(EndpointState &Endpoint, double Sample,
+                           double Weight);
+  void noteLength(EndpointState &Endpoint, const JobState &Job,
+                  const TaskKey &Key, const TaskState &Task);
+  void noteProgress(EndpointState &Endpoint, const JobState &Job,
+                    const TaskKey &Key, TaskState &Task, int32_t Percent);
+
   // owner_pace.cpp
   void controlPace(EndpointState &Endpoint);
   void drainEndpoint(EndpointState &Endpoint);
@@ -200,7 +209,9 @@
   std::unordered_map<std::string, Resources> TeamUsage;
   std::map<StepKey, StepAdvice> Advices;
   std::unordered_map<std::string, double> AllowedShare; ///< By queue.
-  std::deque<JobId> Changed;                            ///< To be stored.
+  /// Run time over the declared one, by queue.
+  std::unordered_map<std::string, double> LengthRatio;
+  std::deque<JobId> Changed; ///< To be stored.
   std::unordered_set<JobId> InChanged;
   std::deque<JobId> ToRemove;
   bool IsLoaded = false;
--- a/src/teaselwalk/cell/job_state.cpp
+++ b/src/teaselwalk/cell/job_state.cpp
@@ -96,6 +96,7 @@
   Task.Pace = 100;
   Task.Percent = 0;
   Task.Figure = 0;
+  Task.ProgressFrom = TimePoint();
 }
 
 void JobState::release(StepState &Step, TaskState &Task) {
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -13,7 +13,10 @@
 /// takes that much fragmentation in exchange.
 constexpr double AwayFromDataWeight = 60000;
 constexpr double DisturbanceWeight = 200000;
-constexpr double SlownessWeight = 40000;
+constexpr double SlownessWeight = 60000;
+
+/// Declared run times are off by half, so less slowness shows nothing.
+constexpr double CertainSlowness = 1.7;
 
 /// A job is worth nothing after this multiple of its objective.
 constexpr int64_t WorthlessAfter = 3;
@@ -272,7 +275,8 @@
     Score += DisturbanceWeight;
   if (Step.TailTarget.count() > 0 && Endpoint.OpportunisticTasks > 0)
     Score += DisturbanceWeight;
-  return Score + SlownessWeight * (Endpoint.Slowness - 1);
+  return Score +
+         SlownessWeight * std::max(0.0, Endpoint.Slowness - CertainSlowness);
 }
 
 int32_t Owner::countOn(const EndpointState &Endpoint,
--- /dev/null
+++ b/src/teaselwalk/cell/owner_progress.cpp
@@ -0,0 +1,106 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Two lists are compared only if they are this far apart.
+constexpr Duration ProgressSpan{400};
+/// Weights of new evidence on an endpoint and on a queue.
+constexpr double RunningWeight = 0.15;
+constexpr double EndedWeight = 0.3;
+constexpr double QueueWeight = 0.05;
+/// One sample counts at least and at most this much.
+constexpr double LeastSample = 0.5;
+constexpr double LargestSample = 8;
+/// An endpoint above it is slow: its tasks are moved if that pays.
+constexpr double SlowEndpoint = 3.5;
+/// A task moves if it would take this many times its usual length from here.
+constexpr double MoveAbove = 3.0;
+/// A task without any progress for this multiple of its usual length stands
+/// still.
+constexpr double StandstillLengths = 2.0;
+constexpr Duration LeastStandstill{2500};
+
+} // namespace
+
+Duration Owner::usualLength(const JobState &Job, const StepSpec &Step) const {
+  auto Learned = LengthRatio.find(Job.Spec.Queue);
+  double Ratio = Learned == LengthRatio.end() ? 1 : Learned->second;
+  return Duration(static_cast<int64_t>(
+      Ratio *
+      static_cast<double>(std::max<int64_t>(100, Step.Estimate.count()))));
+}
+
+void Owner::noteSlowness(EndpointState &Endpoint, double Sample,
+                         double Weight) {
+  double Bounded = std::clamp(Sample, LeastSample, LargestSample);
+  Endpoint.Slowness = Endpoint.Slowness * (1 - Weight) + Bounded * Weight;
+}
+
+void Owner::noteLength(EndpointState &Endpoint, const JobState &Job,
+                       const TaskKey &Key, const TaskState &Task) {
+  const StepSpec &Step = Job.stepOf(Key);
+  bool IsWhole = Task.AnsweredAt != TimePoint() && Task.AssignedAt > GainedAt &&
+                 Task.Checkpoint.empty() && !Step.Service &&
+                 !Step.Opportunistic;
+  if (!IsWhole)
+    return;
+  auto Length = static_cast<double>((Clock.now() - Task.AnsweredAt).count());
+  auto Usual = static_cast<double>(usualLength(Job, Step).count());
+  noteSlowness(Endpoint, Length / Usual, EndedWeight);
+  double Ratio = Length / static_cast<double>(
+                              std::max<int64_t>(100, Step.Estimate.count()));
+  double &Learned = LengthRatio.emplace(Job.Spec.Queue, 1).first->second;
+  Learned = Learned * (1 - QueueWeight) + std::min(Ratio, 4.0) * QueueWeight;
+}
+
+void Owner::noteProgress(EndpointState &Endpoint, const JobState &Job,
+                         const TaskKey &Key, TaskState &Task, int32_t Percent) {
+  const StepSpec &Step = Job.stepOf(Key);
+  TimePoint Now = Clock.now();
+  if (Task.ProgressFrom == TimePoint()) {
+    Task.ProgressFrom = Now;
+    Task.FirstPercent = Percent;
+    return;
+  }
+  Duration Span = Now - Task.ProgressFrom;
+  bool IsPaced = Step.Opportunistic || Task.Pace < 100;
+  if (Step.Service || IsPaced || Span < ProgressSpan || Task.IsStopping)
+    return;
+  auto Usual = static_cast<double>(usualLength(Job, Step).count());
+  auto Spent = static_cast<double>(Span.count());
+  int32_t Made = Percent - Task.FirstPercent;
+  bool StandsStill =
+      Made <= 0 &&
+      Span >
+          std::max(LeastStandstill,
+                   Duration(static_cast<int64_t>(Usual * StandstillLengths)));
+  if (Made <= 0 && !StandsStill)
+    return;
+  double Whole = StandsStill ? Usual * LargestSample : Spent * 100 / Made;
+  noteSlowness(Endpoint, Whole / Usual, RunningWeight);
+  double Left = Whole * (100 - Percent) / 100;
+  bool Pays = Left > Usual * MoveAbove;
+  // Work without a checkpoint would be lost.
+  bool IsSlow =
+      StandsStill || (Step.Checkpoints && Endpoint.Slowness > SlowEndpoint);
+  if (!Pays || !IsSlow || Step.Gang)
+    return;
+  Log.event(EventName::TaskStopped,
+            {{"job", Key.Job.str()},
+             {"step", std::to_string(Key.Step)},
+             {"index", std::to_string(Key.Index)},
+             {"endpoint", Endpoint.Info.Id.str()},
+             {"reason", StandsStill ? "stands still" : "slow endpoint"},
+             {"percent", std::to_string(Percent)},
+             {"slowness", std::to_string(Endpoint.Slowness)},
+             {"left_ms", std::to_string(static_cast<int64_t>(Left))}});
+  Endpoint.AvoidUntil = std::max(Endpoint.AvoidUntil, Now + AvoidFirst);
+  orderStop(Key, Task);
+}
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -175,6 +175,8 @@
   if (End.How == RunEnd::Done) {
     Endpoint.FailuresInRow = 0;
     Endpoint.AvoidNext = Duration(0);
+    if (IsCurrent)
+      noteLength(Endpoint, *Job, End.Task, *Task);
     // Also the end of an earlier run that was taken for lost counts.
     return taskDone(*Job, End.Task, IsCurrent);
   }
@@ -208,6 +210,7 @@
     if (Task->AnsweredAt == TimePoint())
       Task->AnsweredAt = Now;
     Task->Percent = Row.Percent;
+    noteProgress(Endpoint, *Job, Row.Task, *Task, Row.Percent);
     Task->Figure = Row.Figure;
     if (!Row.Checkpoint.empty())
       Task->Checkpoint = Row.Checkpoint;
--- a/src/teaselwalk/cell/owner_test.cpp
+++ b/src/teaselwalk/cell/owner_test.cpp
@@ -278,6 +278,17 @@
   EXPECT_EQ(World.Cluster.Starts, 6);
 }
 
+// Guards against work that waits for ever on an endpoint where tasks stand
+// still although its answers are good.
+TEST_F(OwnerTest, MovesTasksThatStandStill) {
+  begin(1, 3);
+  World.Cluster.Machines[EndpointId("e0")].StandsStill = true;
+  JobSpec Job = World.job(1, {World.step(12)});
+  submit(Job);
+  World.Clock.runFor(Duration(9000));
+  expectState(Job, JobStatus::Completed);
+}
+
 // Guards against entries of the discovery list that another writer has left.
 TEST_F(OwnerTest, IgnoresMalformedEntries) {
   begin(1, 2);
--- a/src/teaselwalk/cell/testing/fake_endpoints.hpp
+++ b/src/teaselwalk/cell/testing/fake_endpoints.hpp
@@ -35,6 +35,7 @@
     bool IsUnfenced = false;
     int64_t Figure = 0;
     int32_t Pace = 100;
+    TimePoint Since;
   };
 
   struct Machine {
@@ -53,6 +54,7 @@
     std::map<TaskKey, int64_t> Highest; ///< Attempts stopped or ended.
     std::vector<EndRow> Ends;
     bool FailsAll = false;
+    bool StandsStill = false; ///< Runs make no progress and do not end.
   };
 
   std::map<EndpointId, Machine> Machines;
@@ -136,8 +138,8 @@
       extend(M, Order.LeaseUntilMs);
     acknowledge(M, Order.AcknowledgedEnd);
     for (const auto &[Key, Value] : M.Running)
-      Result.Running.push_back(
-          {Key, Value.Attempt, Value.Checkpoint, 100, Value.Figure});
+      Result.Running.push_back({Key, Value.Attempt, Value.Checkpoint,
+                                progressOf(M, Key, Value), Value.Figure});
     Result.Ends = M.Ends;
     Result.Outcome = OrderOutcome::Done;
     return Result;
@@ -160,6 +162,18 @@
   /// An owner notices a restart by a renewal that fails (2 s at most).
   static constexpr Duration TimeToFence{3000};
 
+  int32_t progressOf(const Machine &M, const TaskKey &Task,
+                     const Run &Value) const {
+    auto Found = Work.find(Task);
+    const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
+    if (Plan.Lasts)
+      return 100;
+    if (M.StandsStill)
+      return 0;
+    return static_cast<int32_t>((Clock.now() - Value.Since).count() * 100 /
+                                Plan.Length.count());
+  }
+
   void violate(const std::string &Rule, const TaskKey &Task) {
     Violations.insert(Rule + " " + Task.Job.str() + "." +
                       std::to_string(Task.Step) + "." +
@@ -209,11 +223,12 @@
     Value.Attempt = Order.Attempt;
     Value.Checkpoint = Order.Checkpoint;
     Value.Serial = ++NextSerial;
+    Value.Since = Clock.now();
     Value.IsUnfenced = IsUnfenced;
     M.Running[Order.Task] = Value;
     auto Found = Work.find(Order.Task);
     const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
-    if (Plan.Lasts)
+    if (Plan.Lasts || M.StandsStill)
       return;
     bool Fails = M.FailsAll || StartsOf[Order.Task] <= Plan.FailFirst;
     Clock.after(Plan.Length, [this, Id = M.Info.Id, Task = Order.Task,
--- a/src/teaselwalk/cli/node_command.cpp
+++ b/src/teaselwalk/cli/node_command.cpp
@@ -4,6 +4,7 @@
 
 #include "teaselwalk/base/error.hpp"
 #include "teaselwalk/node/process.hpp"
+#include "teaselwalk/runtime/log.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -47,6 +48,20 @@
       std::string(std::istreambuf_iterator<char>(In), {}));
 }
 
+/// Checks the changed file. The addresses and bounds in use stay as they were
+/// at the start.
+void reload(const std::string &File) {
+  std::string Problem;
+  try {
+    load(File);
+  } catch (const std::exception &Failure) {
+    Problem = Failure.what();
+  }
+  runtime::logEvent(
+      Problem.empty() ? runtime::Level::Info : runtime::Level::Warn,
+      EventName::SettingsReloaded, {{"file", File}, {"problem", Problem}});
+}
+
 int run(const Arguments &Args) {
   std::string File = settingsFile(Args);
   node::NodeSettings Settings = load(File);
@@ -54,9 +69,12 @@
   sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   auto Running = std::make_unique<node::Process>(Settings);
-  int Received = SIGHUP;
-  while (Received == SIGHUP)
+  int Received = 0;
+  sigwait(&Signals, &Received);
+  while (Received == SIGHUP) {
+    reload(File);
     sigwait(&Signals, &Received);
+  }
   bool IsComplete = Running->drain(Settings.Limits.GracePeriod - ExitTime);
   Running.reset();
   std::cout.flush();
