--- a/src/teaselwalk/node/peer_protocol.cpp
+++ b/src/teaselwalk/node/peer_protocol.cpp
@@ -51,7 +51,7 @@
     Tickets.push_back({Id.str(), Ticket});
   return Json{{"outcome", static_cast<int>(Answer.Outcome)},
               {"tickets", std::move(Tickets)},
-              {"validity_ms", Answer.Validity.count()}}
+              {"valid_for_ms", Answer.Validity.count()}}
       .dump();
 }
 
@@ -96,7 +96,7 @@
     for (const Json &Row : Body.at("tickets"))
       Answer.Tickets.emplace_back(EndpointId(Row.at(0).get<std::string>()),
                                   Row.at(1).get<std::string>());
-    Answer.Validity = Duration(Body.at("validity_ms").get<int64_t>());
+    Answer.Validity = Duration(Body.at("valid_for_ms").get<int64_t>());
     return Answer;
   });
 }
