--- a/src/teaselwalk/cell/front.cpp
+++ b/src/teaselwalk/cell/front.cpp
@@ -75,6 +75,11 @@
   Call->ConfigVersion = Config.Version;
   auto Confirmed = Hooks.ConfirmedAt();
   Call->ConfigAge = Confirmed ? Clock.now() - *Confirmed : Duration(-1);
+  // Logs name the job also where the request is refused before its queue is
+  // known.
+  std::string Last = Request.Path.substr(Request.Path.rfind('/') + 1);
+  if (isJobId(Last))
+    Call->Id = JobId(Last);
   if (!isReady())
     return refuse(Call, "the configuration is not confirmed");
   const Queue *Target = Config.findQueue(Request.Host, Request.Path);
