--- a/include/teaselwalk/runtime/log.hpp
+++ b/include/teaselwalk/runtime/log.hpp
@@ -22,10 +22,10 @@
 }};
 
 struct LogOptions {
-  std::string File;      ///< Appended to; empty: standard error or output.
+  std::string File; ///< Appended to; empty: standard error or output.
   Level Lowest = Level::Info;
   size_t RingCapacity = 8192; ///< Lines waiting for the writer.
-  bool ToOutput = false; ///< Without a file: standard output.
+  bool ToOutput = false;      ///< Without a file: standard output.
 };
 
 /// The log of the process. While it exists, `logEvent()` writes to it; there
