--- a/include/teaselwalk/cell/configuration.hpp
+++ b/include/teaselwalk/cell/configuration.hpp
@@ -3,7 +3,6 @@
 #include "teaselwalk/cell/job.hpp"
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -29,10 +28,7 @@
 
 /// Limits of a caller's request.
 struct RequestLimits {
-  int64_t MaxHeaderBytes = 16384;
   int64_t MaxBodyBytes = 262144;
-  Duration HeaderTimeout{3000};
-  Duration IdleTimeout{15000};
 };
 
 /// The operators' configuration.
@@ -40,8 +36,6 @@
   int64_t Version = 0;
   std::vector<Queue> Queues;
   std::vector<Team> Teams;
-  /// Whether the endpoints of a service refuse what does not fit.
-  std::map<std::string, bool> RefusesOverload;
   RequestLimits Limits;
 
   /// The queue of \p Host with the longest prefix of \p Path, or null.
--- a/include/teaselwalk/cell/job.hpp
+++ b/include/teaselwalk/cell/job.hpp
@@ -30,6 +30,9 @@
   }
 };
 
+/// Occurrence, step and index of \p Key, as in `0.1.17`, for logs.
+std::string textOf(const TaskKey &Key);
+
 /// A set of equal tasks. All steps in `After` end before the step starts.
 struct StepSpec {
   int32_t Tasks = 1;
--- a/include/teaselwalk/cell/leadership.hpp
+++ b/include/teaselwalk/cell/leadership.hpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/cell/follower.hpp"
 #include "teaselwalk/cell/journal.hpp"
+#include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
 #include <functional>
@@ -66,12 +67,8 @@
   void giveUpClaim(int64_t NewLease);
   void renew();
 
-  template <typename Call> auto guarded(Call Body) {
-    return [Body = std::move(Body),
-            Token = std::weak_ptr<char>(Alive)](auto &&...Values) mutable {
-      if (!Token.expired())
-        Body(std::forward<decltype(Values)>(Values)...);
-    };
+  template <typename Call> auto guarded(Call Body) const {
+    return Alive.guard(std::move(Body));
   }
 
   Executor &Clock;
@@ -90,7 +87,7 @@
   bool IsSynced = false;
   int64_t Lease = 0;
   TimePoint ConfirmedAt;
-  std::shared_ptr<char> Alive = std::make_shared<char>();
+  Lifetime Alive;
 };
 
 } // namespace teaselwalk::cell
--- /dev/null
+++ b/include/teaselwalk/cell/lifetime.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <memory>
+#include <utility>
+
+namespace teaselwalk::cell {
+
+/// Guards callbacks against the end of the object that holds it: a guarded
+/// callback that runs later does nothing.
+class Lifetime {
+public:
+  template <typename Call> auto guard(Call Body) const {
+    return [Body = std::move(Body),
+            Token = std::weak_ptr<char>(Alive)](auto &&...Values) mutable {
+      if (!Token.expired())
+        Body(std::forward<decltype(Values)>(Values)...);
+    };
+  }
+
+private:
+  std::shared_ptr<char> Alive = std::make_shared<char>();
+};
+
+} // namespace teaselwalk::cell
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -6,6 +6,7 @@
 #include "teaselwalk/cell/follower.hpp"
 #include "teaselwalk/cell/job_state.hpp"
 #include "teaselwalk/cell/journal.hpp"
+#include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
 #include <deque>
@@ -24,8 +25,6 @@
 struct OwnerOptions {
   Duration MaxTaskLease{6000}; ///< Longest lease an endpoint grants.
   Duration StatusKept{120000}; ///< Records of ended jobs stay this long.
-  Duration TailExcess{4000};   ///< A tail may be over its target this long.
-  Duration StartEarly{250};    ///< Allowed start before the due time.
   std::string EndpointPrefix;  ///< Of the discovery list in the store.
   /// Reads an entry of the discovery list; throws `Error` if it cannot.
   std::function<EndpointInfo(const StoreItem &)> DecodeEndpoint;
@@ -178,12 +177,8 @@
   JobState *jobOf(const JobId &Id);
   void tick();
 
-  template <typename Call> auto guarded(Call Body) {
-    return [Body = std::move(Body),
-            Token = std::weak_ptr<char>(Alive)](auto &&...Values) mutable {
-      if (!Token.expired())
-        Body(std::forward<decltype(Values)>(Values)...);
-    };
+  template <typename Call> auto guarded(Call Body) const {
+    return Alive.guard(std::move(Body));
   }
 
   Executor &Clock;
@@ -217,7 +212,7 @@
   bool IsLoaded = false;
   bool PassRequested = false;
   TimePoint RemovedAt;
-  std::shared_ptr<char> Alive = std::make_shared<char>();
+  Lifetime Alive;
 };
 
 } // namespace teaselwalk::cell
--- a/include/teaselwalk/node/settings.hpp
+++ b/include/teaselwalk/node/settings.hpp
@@ -12,12 +12,9 @@
 /// where it states none.
 struct Bounds {
   Duration MaxTaskLease{6000};  ///< Longest lease an endpoint grants.
-  Duration StopTimeout{900};    ///< Longest time a stop takes.
   Duration KeyRevocation{5000}; ///< A withdrawn key is refused from then on.
   Duration GracePeriod{6000};   ///< From SIGTERM to SIGKILL.
   Duration StatusKept{120000};  ///< The state of an ended job is known.
-  Duration TailExcess{4000};    ///< A tail may be over its target this long.
-  Duration StartEarly{250};     ///< Allowed start before the due time.
 };
 
 /// What a process learns about itself and its surroundings at its start.
--- a/src/teaselwalk/cell/front.cpp
+++ b/src/teaselwalk/cell/front.cpp
@@ -113,6 +113,9 @@
 
 void Front::submit(const ContextPtr &Call, const std::string &Body) {
   JobSpec Job;
+  if (static_cast<int64_t>(Body.size()) >
+      Hooks.Current->Config.Limits.MaxBodyBytes)
+    return finish(Call, {AnswerKind::Malformed, "the body is too large"});
   try {
     Job = Hooks.DecodeSubmission(Body);
     Job.Id = Call->Id;
--- a/src/teaselwalk/cell/front_test.cpp
+++ b/src/teaselwalk/cell/front_test.cpp
@@ -70,6 +70,15 @@
   EXPECT_GT(Answers->front().RetryAfter.count(), 0);
 }
 
+// Guards against bodies beyond the limit of the configuration.
+TEST_F(FrontTest, RefusesLargeBodies) {
+  World.Config.Limits.MaxBodyBytes = 5;
+  World.Store.put(ConfigKey, "2");
+  World.Clock.runFor(Duration(1500));
+  EXPECT_EQ(answerTo(CallerAction::Submit), AnswerKind::Malformed);
+  EXPECT_FALSE(World.Store.has(jobKey(Job.Id)));
+}
+
 // Guards against states of jobs that nobody submitted.
 TEST_F(FrontTest, KnowsNoOtherJobs) {
   EXPECT_EQ(answerTo(CallerAction::Status), AnswerKind::NoJob);
--- a/src/teaselwalk/cell/job.cpp
+++ b/src/teaselwalk/cell/job.cpp
@@ -114,6 +114,11 @@
 
 } // namespace
 
+std::string textOf(const TaskKey &Key) {
+  return std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step) + '.' +
+         std::to_string(Key.Index);
+}
+
 void validate(const JobSpec &Job) {
   std::vector<FieldError> Mistakes;
   if (Job.Payload.size() > MaxPayloadBytes)
--- a/src/teaselwalk/cell/owner_orders.cpp
+++ b/src/teaselwalk/cell/owner_orders.cpp
@@ -7,11 +7,6 @@
 namespace teaselwalk::cell {
 namespace {
 
-std::string nameOfTask(const TaskKey &Key) {
-  return std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step) + '.' +
-         std::to_string(Key.Index);
-}
-
 /// Pause of a task whose order was refused, before it is placed again.
 constexpr Duration RefusedPause{100};
 /// Pause of a task that an endpoint calls invalid.
@@ -136,7 +131,7 @@
   Log.event(
       EventName::OrderFailed,
       {{"job", Key.Job.str()},
-       {"task", nameOfTask(Key)},
+       {"task", textOf(Key)},
        {"attempt", std::to_string(Attempt)},
        {"endpoint", Where.str()},
        {"token", std::to_string(Token)},
@@ -217,7 +212,7 @@
     return;
   bool WasOrdered = Task->IsOrdered;
   Log.event(EventName::RunLost, {{"job", Key.Job.str()},
-                                 {"task", nameOfTask(Key)},
+                                 {"task", textOf(Key)},
                                  {"attempt", std::to_string(Task->Attempt)},
                                  {"endpoint", Task->Where.str()},
                                  {"reason", Why}});
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -16,11 +16,6 @@
     {RunEnd::Alone, "alone"},
 }};
 
-std::string nameOfTask(const TaskKey &Key) {
-  return std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step) + '.' +
-         std::to_string(Key.Index);
-}
-
 } // namespace
 
 int64_t Owner::leaseUntil(const EndpointState &Endpoint, TimePoint Now) const {
@@ -158,7 +153,7 @@
   TaskState *Task = Job == nullptr ? nullptr : Job->find(End.Task);
   Log.event(EventName::RunEnded,
             {{"job", End.Task.Job.str()},
-             {"task", nameOfTask(End.Task)},
+             {"task", textOf(End.Task)},
              {"attempt", std::to_string(End.Attempt)},
              {"endpoint", Endpoint.Info.Id.str()},
              {"how", std::string(nameOf(EndNames, End.How))},
@@ -243,7 +238,7 @@
   Endpoint.Strays[Key] = Now;
   if (IsNew)
     Log.event(EventName::RunStray, {{"job", Row.Task.Job.str()},
-                                    {"task", nameOfTask(Row.Task)},
+                                    {"task", textOf(Row.Task)},
                                     {"attempt", std::to_string(Row.Attempt)},
                                     {"endpoint", Endpoint.Info.Id.str()}});
   Workers.stop(Endpoint.Info, Row.Task, Row.Attempt, Endpoint.Token,
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -141,8 +141,6 @@
     Options.KeyRevocation = Settings.Limits.KeyRevocation;
     Options.Owner.MaxTaskLease = Settings.Limits.MaxTaskLease;
     Options.Owner.StatusKept = Settings.Limits.StatusKept;
-    Options.Owner.TailExcess = Settings.Limits.TailExcess;
-    Options.Owner.StartEarly = Settings.Limits.StartEarly;
     Options.Owner.EndpointPrefix = adapter::EndpointPrefix;
     Options.Owner.DecodeEndpoint = adapter::decodeEndpoint;
     Options.InstructionPrefix = adapter::InstructionPrefix;
