cell: an endpoint that is listed again keeps this owner's tokens

The refusal looked like a new owner and the owner gave up: a takeover without need. Ruled out: another claim; the next one came 60 ms after the loss. Change: new entries begin with the highest token used so far. Test KeepsItsTokensWhenAnEndpointComesBack fails before, passes after.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -201,6 +201,9 @@
   std::unordered_set<JobId> Open;            ///< Jobs that have not ended.
   std::set<StepKey> Backlog;                 ///< Ready steps that wait.
   EndpointTable Table;
+  /// No endpoint has seen a higher token of this owner, also none that was
+  /// forgotten and is listed again.
+  int64_t HighestToken;
   std::unordered_map<std::string, Resources> TeamUsage;
   std::map<StepKey, StepAdvice> Advices;
   std::unordered_map<std::string, double> AllowedShare; ///< By queue.
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -50,7 +50,8 @@
              [this](const StoreItem &Item) { onIntake(Item); }),
       Discovery(Clock, Source, Log, discoveryOptions(Options.EndpointPrefix),
                 [this](const StoreItem &Item) { onEndpointItem(Item); }),
-      Desk(Clock, Service, Log), RemovedAt(Clock.now()) {}
+      Desk(Clock, Service, Log), HighestToken(Epoch * TokensPerEpoch + 1),
+      RemovedAt(Clock.now()) {}
 
 void Owner::start() { loadState(); }
 
@@ -136,7 +137,7 @@
         EndpointState &Endpoint = Table[Task.Where];
         if (Endpoint.Token == 0) {
           Endpoint.Info.Id = Task.Where;
-          Endpoint.Token = Epoch * TokensPerEpoch + 1;
+          Endpoint.Token = HighestToken;
           Endpoint.UnlistedSince = GainedAt;
           Endpoint.RenewedAt = GainedAt + FormerOwnerLimit;
         }
@@ -188,7 +189,7 @@
   Endpoint.Info = std::move(Info);
   bool WasListed = std::exchange(Endpoint.IsListed, true);
   if (Endpoint.Token == 0)
-    Endpoint.Token = Epoch * TokensPerEpoch + 1;
+    Endpoint.Token = HighestToken;
   if (!WasListed)
     Log.event(EventName::EndpointJoined,
               {{"endpoint", Id.str()},
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -272,6 +272,7 @@
 
 void Owner::raiseToken(EndpointState &Endpoint) {
   ++Endpoint.Token;
+  HighestToken = std::max(HighestToken, Endpoint.Token);
   renew(Endpoint.Info.Id, false);
 }
 
--- a/src/teaselwalk/cell/owner_test.cpp
+++ b/src/teaselwalk/cell/owner_test.cpp
@@ -312,6 +312,30 @@
   expectState(Job, JobStatus::Completed);
 }
 
+// Guards against an owner that gives up because an endpoint that it had
+// forgotten has seen one of its own tokens (incident inc-fac7).
+TEST_F(OwnerTest, KeepsItsTokensWhenAnEndpointComesBack) {
+  begin(1, 2);
+  FakeProcess &Owning = *World.Processes[0];
+  Owning.Workers.DelayStarts = 2;
+  Owning.Workers.StartDelay = Duration(2000);
+  JobSpec Job = World.job(1, {World.step(2, 5000)});
+  submit(Job);
+  World.Clock.runFor(Duration(4000));
+  for (const char *Id : {"e0", "e1"}) {
+    EXPECT_GT(World.Cluster.Machines[EndpointId(Id)].Token, 1000001);
+    World.unlist(EndpointId(Id));
+    World.Cluster.Machines[EndpointId(Id)].IsCut = true;
+  }
+  World.Clock.runFor(Duration(12000));
+  for (const char *Id : {"e0", "e1"}) {
+    World.Cluster.Machines[EndpointId(Id)].IsCut = false;
+    World.list(EndpointId(Id));
+  }
+  World.Clock.runFor(Duration(3000));
+  EXPECT_EQ(Owning.Log.Events[EventName::OwnerLost], 0);
+}
+
 // Guards against tails of serving tasks that opportunistic neighbours disturb.
 TEST_F(OwnerTest, PacesOpportunisticNeighbours) {
   begin(1, 1);
