--- a/src/teaselwalk/cell/testing/fake_store.hpp
+++ b/src/teaselwalk/cell/testing/fake_store.hpp
@@ -4,6 +4,7 @@
 
 #include "teaselwalk/cell/ports.hpp"
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -88,10 +89,14 @@
     if (After < OldestHistory)
       return {StoreOutcome::HistoryGone, {}, Revision};
     StoreItems Result{StoreOutcome::Done, {}, Revision};
-    for (const StoreItem &Item : History)
-      if (Item.Revision > After &&
-          Item.Key.compare(0, Prefix.size(), Prefix) == 0)
-        Result.Items.push_back(Item);
+    // The history is in the order of revisions.
+    auto First = std::upper_bound(History.begin(), History.end(), After,
+                                  [](int64_t Known, const StoreItem &Item) {
+                                    return Known < Item.Revision;
+                                  });
+    for (auto It = First; It != History.end(); ++It)
+      if (It->Key.compare(0, Prefix.size(), Prefix) == 0)
+        Result.Items.push_back(*It);
     return Result;
   }
 
