cell: an owner that does not answer is replaced before its lease ends

Ruled out: reading the state (157 to 220 ms), advice (30 ms a question). Change: strong processes keep one question open at the owner. A question that breaks or gets no answer makes them suspect it; if others suspect it too, and none reaches it, they claim with the owner's record as condition. An answer by another process at its address is proof. The guard fences late writes as before. Tests of OwnerFailureTest fail before and pass after.

--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -55,6 +55,7 @@
   OwnerClaimed,
   OwnerLost,
   OwnerReady,
+  OwnerSuspected,
   StepPlaced,
   StepWaiting,
   OrderFailed,
@@ -74,7 +75,7 @@
   TaskPreempted,
 };
 
-constexpr std::array<EnumName<EventName>, 66> EventNames = {{
+constexpr std::array<EnumName<EventName>, 67> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -124,6 +125,7 @@
     {EventName::OwnerClaimed, "owner_claimed"},
     {EventName::OwnerLost, "owner_lost"},
     {EventName::OwnerReady, "owner_ready"},
+    {EventName::OwnerSuspected, "owner_suspected"},
     {EventName::StepPlaced, "step_placed"},
     {EventName::StepWaiting, "step_waiting"},
     {EventName::OrderFailed, "order_failed"},
--- a/include/teaselwalk/cell/cell.hpp
+++ b/include/teaselwalk/cell/cell.hpp
@@ -14,9 +14,8 @@
 namespace teaselwalk::cell {
 
 /// Calls to another process of the system.
-class PeerCalls {
+class PeerCalls : public OwnerCalls {
 public:
-  virtual ~PeerCalls() = default;
   virtual void job(const protocol::Address &To, const JobId &Id,
                    std::function<void(JobAnswer)> Done) = 0;
   virtual void pending(const protocol::Address &To, const std::string &Queue,
@@ -71,6 +70,10 @@
   /// not the owner.
   JobAnswer jobHere(const JobId &Id) const;
   PendingAnswer pendingHere(const std::string &Queue) const;
+  const std::string &process() const { return Options.Process; }
+  OwnerHealth healthHere(const std::string &Process) const {
+    return Election.healthOf(Process);
+  }
 
 private:
   void job(const JobId &Id, std::function<void(JobAnswer)> Done) override;
--- a/include/teaselwalk/cell/leadership.hpp
+++ b/include/teaselwalk/cell/leadership.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/follower.hpp"
 #include "teaselwalk/cell/journal.hpp"
 #include "teaselwalk/cell/lifetime.hpp"
+#include "teaselwalk/cell/owner_watch.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/presence.hpp"
 
@@ -10,13 +11,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace teaselwalk::cell {
 
 /// The owner as every process sees it.
 struct OwnerRecord {
   std::string Process;
-  protocol::Address Address; ///< Of its interface for other processes.
+  PresenceRecord Self;
   int64_t Epoch = 0;
 
   std::string encode() const;
@@ -37,7 +39,9 @@
 /// Chooses the one process that owns the jobs and endpoints. The owner's
 /// presence key has a lease; when it is gone, the processes compete for it
 /// with a conditional write that also raises the epoch in the guard. A process
-/// waits a little if a much stronger one is present.
+/// waits a little if a much stronger one is present. An owner that does not
+/// answer, as other processes confirm, is replaced before its lease ends: the
+/// guard makes its late writes fail.
 class Leadership {
 public:
   struct Hooks {
@@ -48,8 +52,8 @@
     std::function<bool()> MayOwn;
   };
 
-  Leadership(Executor &Clock, Store &Source, Recorder &Log, Candidacy Running,
-             Hooks Calls);
+  Leadership(Executor &Clock, Store &Source, Recorder &Log, OwnerCalls &Peers,
+             Candidacy Running, Hooks Calls);
 
   void start();
 
@@ -58,6 +62,11 @@
   /// The owner that the store shows; nothing if there is none.
   const std::optional<OwnerRecord> &owner() const { return Seen; }
 
+  /// What this process thinks of the owner \p Process.
+  OwnerHealth healthOf(const std::string &Process) const {
+    return Watch.health(Process);
+  }
+
   /// When the store last confirmed that this process is the owner.
   TimePoint confirmedAt() const { return ConfirmedAt; }
 
@@ -70,7 +79,13 @@
 private:
   void onItem(const StoreItem &Item);
   void scheduleClaim(Duration Delay);
+  /// True if there is no owner, or one that seems to be gone.
+  bool isVacant() const;
+  bool mayClaim() const;
   void considerClaim();
+  void onProcesses(const StoreItems &Processes);
+  void confirmSuspicion(const std::vector<protocol::Address> &Others);
+  void claimAfter(Duration Delay);
   void claim();
   void claimWithLease(int64_t NewLease);
   void commitClaim(int64_t NewLease, const StoreItems &Guard);
@@ -91,7 +106,11 @@
   const Candidacy Running;
   Hooks Calls;
   Follower Presence;
+  OwnerCalls &Peers;
+  OwnerWatch Watch;
   std::optional<OwnerRecord> Seen;
+  int64_t SeenRevision = 0; ///< Of the owner's record; 0: there is none.
+  int64_t Replaced = 0;     ///< The revision that the claim under way ends.
   bool Owns = false;
   bool Released = false;
   bool Claiming = false;
--- a/src/teaselwalk/cell/cell.cpp
+++ b/src/teaselwalk/cell/cell.cpp
@@ -38,7 +38,7 @@
       Self(Around.Clock, Around.Source, Around.Log,
            ProcessPrefix + Options.Name,
            PresenceRecord{Options.PeerAddress, Options.Strength}.encode()),
-      Election(Around.Clock, Around.Source, Around.Log,
+      Election(Around.Clock, Around.Source, Around.Log, Around.Peers,
                {Options.Process,
                 {Options.PeerAddress, Options.Strength},
                 Options.ClaimDelay},
@@ -182,7 +182,7 @@
     return Done(jobHere(Id));
   if (!Election.owner() || Election.owner()->Process == Options.Process)
     return Done({});
-  Around.Peers.job(Election.owner()->Address, Id, std::move(Done));
+  Around.Peers.job(Election.owner()->Self.Address, Id, std::move(Done));
 }
 
 void Cell::pending(const std::string &Queue,
@@ -191,7 +191,7 @@
     return Done(pendingHere(Queue));
   if (!Election.owner() || Election.owner()->Process == Options.Process)
     return Done({});
-  Around.Peers.pending(Election.owner()->Address, Queue, std::move(Done));
+  Around.Peers.pending(Election.owner()->Self.Address, Queue, std::move(Done));
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/leadership.cpp
+++ b/src/teaselwalk/cell/leadership.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace teaselwalk::cell {
@@ -36,10 +36,8 @@
 } // namespace
 
 std::string OwnerRecord::encode() const {
-  return nlohmann::json{{"process", Process},
-                        {"ip", Address.Ip},
-                        {"port", Address.Port},
-                        {"epoch", Epoch}}
+  return nlohmann::json{
+      {"process", Process}, {"self", Self.encode()}, {"epoch", Epoch}}
       .dump();
 }
 
@@ -47,7 +45,7 @@
   try {
     nlohmann::json Document = nlohmann::json::parse(Text);
     return {Document.at("process"),
-            {Document.at("ip"), Document.at("port")},
+            PresenceRecord::decode(Document.at("self").get<std::string>()),
             Document.at("epoch")};
   } catch (const nlohmann::json::exception &Failure) {
     throw Error(std::string("owner record: ") + Failure.what());
@@ -59,11 +57,13 @@
 }
 
 Leadership::Leadership(Executor &Clock, Store &Source, Recorder &Log,
-                       Candidacy Given, Hooks Calls)
+                       OwnerCalls &Peers, Candidacy Given, Hooks Calls)
     : Clock(Clock), Source(Source), Log(Log), Running(std::move(Given)),
       Calls(std::move(Calls)),
       Presence(Clock, Source, Log, presenceOptions(),
-               [this](const StoreItem &Item) { onItem(Item); }) {}
+               [this](const StoreItem &Item) { onItem(Item); }),
+      Peers(Peers),
+      Watch(Clock, Peers, Log, [this] { scheduleClaim(Running.ClaimDelay); }) {}
 
 void Leadership::start() {
   Presence.start([this] {
@@ -78,12 +78,21 @@
     return;
   if (Item.Deleted) {
     Seen.reset();
+    SeenRevision = 0;
+    Watch.stop();
     if (IsSynced)
       scheduleClaim(Running.ClaimDelay);
     return;
   }
   Seen = OwnerRecord::decode(Item.Value);
-  if (isOwner() && Seen->Process != Running.Process)
+  SeenRevision = Item.Revision;
+  bool IsOwn = Seen->Process == Running.Process;
+  // A much weaker process would not replace the owner at once.
+  if (!IsOwn && !isMuchStronger(Seen->Self, Running.Self))
+    Watch.follow(Seen->Process, Seen->Self.Address);
+  else
+    Watch.stop();
+  if (isOwner() && !IsOwn)
     depose("another process owns the jobs");
 }
 
@@ -97,35 +106,87 @@
               }));
 }
 
+bool Leadership::isVacant() const {
+  if (!Seen)
+    return true;
+  OwnerHealth Health = Watch.health(Seen->Process);
+  return Health == OwnerHealth::Suspected || Health == OwnerHealth::Dead;
+}
+
+bool Leadership::mayClaim() const {
+  return !Released && !Claiming && !isOwner() && isVacant();
+}
+
 void Leadership::considerClaim() {
-  if (Released || Seen || Claiming || isOwner())
+  if (!mayClaim())
     return;
   if (!Calls.MayOwn())
     return scheduleClaim(RetryPause);
   Claiming = true;
-  Source.list(
-      ProcessPrefix, CallTimeout, guarded([this](const StoreItems &Processes) {
-        Claiming = false;
-        bool StrongerIsPresent =
-            std::any_of(Processes.Items.begin(), Processes.Items.end(),
-                        [this](const StoreItem &Item) {
-                          return isMuchStronger(
-                              PresenceRecord::decode(Item.Value), Running.Self);
-                        });
-        if (!StrongerIsPresent)
-          return claim();
-        ClaimScheduled = true;
-        Clock.after(StrongerFirst, guarded([this] {
-                      ClaimScheduled = false;
-                      claim();
-                    }));
-      }));
+  Source.list(ProcessPrefix, CallTimeout,
+              guarded([this](const StoreItems &Processes) {
+                Claiming = false;
+                onProcesses(Processes);
+              }));
+}
+
+void Leadership::onProcesses(const StoreItems &Processes) {
+  if (!mayClaim())
+    return;
+  bool StrongerIsPresent = false;
+  std::vector<protocol::Address> Others;
+  for (const StoreItem &Item : Processes.Items) {
+    PresenceRecord Other = PresenceRecord::decode(Item.Value);
+    bool IsOwner = Seen && Other.Address == Seen->Self.Address;
+    StrongerIsPresent |= !IsOwner && isMuchStronger(Other, Running.Self);
+    bool Watches = !Seen || !isMuchStronger(Seen->Self, Other);
+    if (!IsOwner && Watches && Other.Address != Running.Self.Address)
+      Others.push_back(Other.Address);
+  }
+  if (Seen && Watch.health(Seen->Process) == OwnerHealth::Suspected)
+    return confirmSuspicion(Others);
+  claimAfter(StrongerIsPresent ? StrongerFirst : Duration(0));
+}
+
+/// This process may be the one that is cut off, so others have to agree.
+void Leadership::confirmSuspicion(
+    const std::vector<protocol::Address> &Others) {
+  struct Poll {
+    size_t Open = 0;
+    size_t Agreeing = 0;
+    size_t Denying = 0;
+  };
+  auto Asked = std::make_shared<Poll>();
+  Asked->Open = Others.size();
+  for (const protocol::Address &Other : Others)
+    Peers.health(Other, Seen->Process,
+                 guarded([this, Asked](OwnerHealth Health) {
+                   bool Agrees = Health == OwnerHealth::Suspected ||
+                                 Health == OwnerHealth::Dead;
+                   --Asked->Open;
+                   Asked->Agreeing += Agrees ? 1 : 0;
+                   Asked->Denying += Health == OwnerHealth::Alive ? 1 : 0;
+                   if (Asked->Open > 0)
+                     return;
+                   if (Asked->Agreeing > 0 && Asked->Denying == 0)
+                     return claim();
+                   scheduleClaim(RetryPause);
+                 }));
+}
+
+void Leadership::claimAfter(Duration Delay) {
+  ClaimScheduled = true;
+  Clock.after(Delay, guarded([this] {
+                ClaimScheduled = false;
+                claim();
+              }));
 }
 
 void Leadership::claim() {
-  if (Released || Seen || Claiming || isOwner())
+  if (!mayClaim())
     return;
   Claiming = true;
+  Replaced = SeenRevision;
   Source.grantLease(OwnerLease, CallTimeout,
                     guarded([this](const LeaseResult &Result) {
                       if (Result.Outcome == StoreOutcome::Done)
@@ -154,11 +215,10 @@
     Record.Epoch = GuardRecord::decode(Guard.Items.front().Value).Epoch + 1;
   }
   StoreTransaction Change;
-  Change.Conditions = {{OwnerKey, 0}, {GuardKey, Revision}};
+  Change.Conditions = {{OwnerKey, Replaced}, {GuardKey, Revision}};
   Change.Puts = {
       {OwnerKey,
-       OwnerRecord{Running.Process, Running.Self.Address, Record.Epoch}
-           .encode(),
+       OwnerRecord{Running.Process, Running.Self, Record.Epoch}.encode(),
        NewLease},
       {GuardKey, Record.encode(), 0}};
   Source.commit(Change, CallTimeout,
@@ -205,7 +265,8 @@
   Lease = NewLease;
   Owns = true;
   ConfirmedAt = Clock.now();
-  Seen = OwnerRecord{Running.Process, Running.Self.Address, Record.Epoch};
+  Watch.stop();
+  Seen = OwnerRecord{Running.Process, Running.Self, Record.Epoch};
   Log.event(EventName::OwnerClaimed, {{"epoch", std::to_string(Record.Epoch)},
                                       {"revision", std::to_string(Revision)}});
   Clock.after(RenewInterval, guarded([this] { renew(); }));
@@ -245,8 +306,10 @@
   int64_t Ended = std::exchange(Lease, 0);
   Source.endLease(Ended, CallTimeout, [](const LeaseResult &) {});
   Log.event(EventName::OwnerLost, {{"reason", Reason}});
-  if (Seen && Seen->Process == Running.Process)
+  if (Seen && Seen->Process == Running.Process) {
     Seen.reset();
+    SeenRevision = 0;
+  }
   Calls.Lost(Reason);
   if (!Seen)
     scheduleClaim(RetryPause);
--- a/src/teaselwalk/cell/leadership_test.cpp
+++ b/src/teaselwalk/cell/leadership_test.cpp
@@ -38,5 +38,70 @@
   EXPECT_EQ(World.ownerIndex(), First);
 }
 
+class OwnerFailureTest : public ::testing::Test {
+protected:
+  void begin(int Processes) {
+    World.addEndpoints(2);
+    World.addProcesses(Processes);
+    World.Clock.runFor(Duration(2500));
+    First = World.ownerIndex();
+    ASSERT_LT(First, World.Processes.size());
+  }
+
+  FakeWorld World;
+  size_t First = 0;
+};
+
+// Guards against a takeover that waits for the end of the owner's lease though
+// its connections were closed.
+TEST_F(OwnerFailureTest, AKilledOwnerIsReplacedAtOnce) {
+  begin(16);
+  World.kill(First);
+  World.Clock.runFor(Duration(400));
+  EXPECT_LT(World.ownerIndex(), World.Processes.size());
+  int Claims = 0;
+  for (auto &Process : World.Processes)
+    if (Process)
+      Claims += Process->Log.Events[EventName::OwnerClaimed];
+  EXPECT_EQ(Claims, 1) << "the new owner is not replaced in its turn";
+}
+
+// Guards against a silent owner that is replaced only when its lease ends.
+TEST_F(OwnerFailureTest, APausedOwnerIsReplacedBeforeItsLeaseEnds) {
+  begin(4);
+  World.Processes[First]->Clock.pause();
+  World.Clock.runFor(Duration(1000));
+  size_t Next = World.ownerIndex();
+  EXPECT_TRUE(Next < World.Processes.size());
+  int Owners = 0;
+  World.Processes[First]->Clock.resume();
+  World.Clock.runFor(Duration(500));
+  for (auto &Process : World.Processes)
+    Owners += Process->Decisions->isOwner() ? 1 : 0;
+  EXPECT_EQ(Owners, 1);
+  EXPECT_FALSE(World.Processes[First]->Decisions->isOwner());
+}
+
+// Guards against a process that is cut off from the others, but not from the
+// store, and takes the ownership from a sound owner.
+TEST_F(OwnerFailureTest, ACutProcessDoesNotTakeOver) {
+  begin(4);
+  World.Processes[(First + 1) % 4]->Peers.IsCut = true;
+  World.Clock.runFor(Duration(10000));
+  EXPECT_EQ(World.ownerIndex(), First);
+}
+
+// Guards against processes that have all restarted and wait for the lease of
+// an owner that is gone.
+TEST_F(OwnerFailureTest, RestartedProcessesReplaceAnOwnerThatIsGone) {
+  begin(3);
+  for (size_t I = 0; I < World.Processes.size(); ++I)
+    World.kill(I);
+  for (size_t I = 0; I < World.Processes.size(); ++I)
+    World.revive(I);
+  World.Clock.runFor(Duration(700));
+  EXPECT_LT(World.ownerIndex(), World.Processes.size());
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- /dev/null
+++ b/src/teaselwalk/cell/owner_watch.cpp
@@ -0,0 +1,70 @@
+#include "teaselwalk/cell/owner_watch.hpp"
+
+#include <utility>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// The owner answers a question after this time. It bounds the questions a
+/// second, and with the call's timeout the time to notice a silent owner.
+constexpr Duration AnswerDelay{400};
+/// Pause after a question without an answer.
+constexpr Duration AskAgain{100};
+
+} // namespace
+
+void OwnerWatch::follow(const std::string &Process,
+                        const protocol::Address &At) {
+  if (Watched == Process)
+    return;
+  Watched = Process;
+  Address = At;
+  State = OwnerHealth::Unknown;
+  ++Round;
+  ask();
+}
+
+void OwnerWatch::stop() {
+  Watched.clear();
+  State = OwnerHealth::Unknown;
+  ++Round;
+}
+
+OwnerHealth OwnerWatch::health(const std::string &Process) const {
+  return Process == Watched ? State : OwnerHealth::Unknown;
+}
+
+void OwnerWatch::ask() {
+  // A doubtful owner is asked for an answer at once.
+  bool IsDoubtful =
+      State == OwnerHealth::Suspected || State == OwnerHealth::Dead;
+  Duration Wait = IsDoubtful ? Duration(0) : AnswerDelay;
+  Peers.identify(Address, Wait,
+                 Alive.guard([this, Asked = Round](
+                                 const std::optional<std::string> &Answering) {
+                   if (Asked == Round)
+                     onAnswer(Answering);
+                 }));
+}
+
+void OwnerWatch::onAnswer(const std::optional<std::string> &Answering) {
+  OwnerHealth Before = State;
+  if (!Answering)
+    State = OwnerHealth::Suspected;
+  else
+    State = *Answering == Watched ? OwnerHealth::Alive : OwnerHealth::Dead;
+  if (State == OwnerHealth::Alive)
+    return ask();
+  if (State != Before)
+    Log.event(EventName::OwnerSuspected,
+              {{"process", Watched},
+               {"health", std::string(nameOf(OwnerHealthNames, State))},
+               {"answering", Answering.value_or("")}});
+  Clock.after(AskAgain, Alive.guard([this, Asked = Round] {
+    if (Asked == Round)
+      ask();
+  }));
+  Suspected();
+}
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -46,6 +46,8 @@
 class FakeWorld;
 
 /// Questions to the other processes reach them after a moment.
+struct FakeProcess;
+
 class FakePeers : public PeerCalls {
 public:
   FakePeers(FakeWorld &World, Executor &Own) : World(World), Own(Own) {}
@@ -53,8 +55,17 @@
            std::function<void(JobAnswer)> Done) override;
   void pending(const protocol::Address &To, const std::string &Queue,
                std::function<void(PendingAnswer)> Done) override;
+  void identify(const protocol::Address &To, Duration Wait,
+                std::function<void(std::optional<std::string>)> Done) override;
+  void health(const protocol::Address &To, const std::string &Process,
+              std::function<void(OwnerHealth)> Done) override;
+
+  /// Nothing reaches the other processes.
+  bool IsCut = false;
 
 private:
+  FakeProcess *at(const protocol::Address &To) const;
+
   FakeWorld &World;
   Executor &Own;
 };
@@ -69,6 +80,7 @@
   FakeAdvisor Service;
   FakePeers Peers;
   FakeRecorder Log;
+  protocol::Address Address;
   std::unique_ptr<Cell> Decisions;
 };
 
@@ -128,8 +140,16 @@
     }
   }
 
+  /// Questions that a process has not answered yet.
+  std::multimap<FakeProcess *, std::function<void()>> OpenQuestions;
+
   void kill(size_t Index) {
     Processes[Index]->Clock.die();
+    // Its connections are closed.
+    auto Open = OpenQuestions.equal_range(Processes[Index].get());
+    for (auto It = Open.first; It != Open.second; ++It)
+      It->second();
+    OpenQuestions.erase(Open.first, Open.second);
     Dead.push_back(std::move(Processes[Index]));
   }
   /// A new process in place of the killed one.
@@ -236,6 +256,45 @@
   Own.after(Duration(500), [Done] { Done({}); });
 }
 
+inline FakeProcess *FakePeers::at(const protocol::Address &To) const {
+  for (auto &Other : World.Processes)
+    if (Other && Other->Address == To && !IsCut && !Other->Peers.IsCut)
+      return Other.get();
+  return nullptr;
+}
+
+inline void
+FakePeers::identify(const protocol::Address &To, Duration Wait,
+                    std::function<void(std::optional<std::string>)> Done) {
+  constexpr Duration Slack{300};
+  constexpr Duration Latency{2};
+  auto IsAnswered = std::make_shared<bool>(false);
+  auto Finish = [this, Done, IsAnswered](std::optional<std::string> Process) {
+    if (!std::exchange(*IsAnswered, true))
+      Own.after(Latency, [Done, Process] { Done(Process); });
+  };
+  Own.after(Wait + Slack, [Finish] { Finish(std::nullopt); });
+  World.Clock.after(Latency, [this, To, Wait, Finish] {
+    FakeProcess *Other = at(To);
+    if (Other != nullptr) {
+      World.OpenQuestions.emplace(Other, [Finish] { Finish(std::nullopt); });
+      Other->Clock.after(
+          Wait, [Other, Finish] { Finish(Other->Decisions->process()); });
+    } else if (!IsCut) // Refused.
+      Finish(std::nullopt);
+  });
+}
+
+inline void FakePeers::health(const protocol::Address &To,
+                              const std::string &Process,
+                              std::function<void(OwnerHealth)> Done) {
+  FakeProcess *Other = at(To);
+  OwnerHealth Found = Other == nullptr ? OwnerHealth::Unknown
+                                       : Other->Decisions->healthHere(Process);
+  Own.after(Duration(Other == nullptr ? 300 : 4),
+            [Done, Found] { Done(Found); });
+}
+
 inline FakeProcess::FakeProcess(FakeWorld &World, int Number)
     : Clock(World.Clock), Store(World.Clock, Clock, World.Store),
       Workers(World.Clock, Clock, World.Cluster), Service(World.Clock, Clock),
@@ -244,6 +303,7 @@
   Options.Name = "p" + std::to_string(Number);
   Options.Process = Options.Name + "#" + std::to_string(Number);
   Options.PeerAddress = {"10.1.0.1", static_cast<uint16_t>(1 + Number % 100)};
+  Address = Options.PeerAddress;
   Options.ClaimDelay = Duration(Number % 100);
   auto Strength = World.Strengths.find(static_cast<size_t>(Number % 100));
   if (Strength != World.Strengths.end())
--- a/src/teaselwalk/node/peer_client.cpp
+++ b/src/teaselwalk/node/peer_client.cpp
@@ -10,6 +10,8 @@
 
 /// The owner answers from memory; after this the store is asked.
 constexpr Duration QueryTimeout{500};
+/// A process that is alive answers within this time beyond the asked wait.
+constexpr Duration IdentifySlack{300};
 /// Added for the way to the other process and back.
 constexpr Duration HopSlack{100};
 
@@ -52,6 +54,34 @@
       });
 }
 
+void PeerClient::identify(
+    const protocol::Address &To, Duration Wait,
+    std::function<void(std::optional<std::string>)> Done) {
+  Sender.send(To,
+              {"GET", std::string(IdentifyPath) +
+                          "?wait_ms=" + std::to_string(Wait.count())},
+              Wait + IdentifySlack,
+              [this, Done = std::move(Done)](const http::Result &Answer) {
+                std::optional<std::string> Process;
+                if (Answer.State == protocol::Delivery::Answered &&
+                    Answer.Message.Status == 200)
+                  Process = Answer.Message.Body;
+                Core.deliver([Done, Process] { Done(Process); });
+              });
+}
+
+void PeerClient::health(const protocol::Address &To, const std::string &Process,
+                        std::function<void(cell::OwnerHealth)> Done) {
+  Sender.send(To,
+              {"GET", std::string(HealthPath) +
+                          "?process=" + http::percentEncode(Process)},
+              IdentifySlack,
+              [this, Done = std::move(Done)](const http::Result &Answer) {
+                auto Found = bodyOf<cell::OwnerHealth>(Answer, decodeHealth);
+                Core.deliver([Done, Found] { Done(Found); });
+              });
+}
+
 void PeerClient::advice(const protocol::Address &To,
                         const AdviceRequest &Request,
                         std::function<void(cell::Advice)> Done) {
--- a/src/teaselwalk/node/peer_client.hpp
+++ b/src/teaselwalk/node/peer_client.hpp
@@ -20,6 +20,10 @@
            std::function<void(cell::JobAnswer)> Done) override;
   void pending(const protocol::Address &To, const std::string &Queue,
                std::function<void(cell::PendingAnswer)> Done) override;
+  void identify(const protocol::Address &To, Duration Wait,
+                std::function<void(std::optional<std::string>)> Done) override;
+  void health(const protocol::Address &To, const std::string &Process,
+              std::function<void(cell::OwnerHealth)> Done) override;
   void advice(const protocol::Address &To, const AdviceRequest &Request,
               std::function<void(cell::Advice)> Done);
 
--- a/src/teaselwalk/node/peer_protocol.cpp
+++ b/src/teaselwalk/node/peer_protocol.cpp
@@ -33,6 +33,10 @@
   return Json{{"answered", Answer.IsAnswered}, {"count", Answer.Count}}.dump();
 }
 
+std::string encode(cell::OwnerHealth Health) {
+  return Json{{"health", nameOf(cell::OwnerHealthNames, Health)}}.dump();
+}
+
 std::string encode(const AdviceRequest &Request) {
   Json Candidates = Json::array();
   for (const EndpointId &Id : Request.Candidates)
@@ -76,6 +80,13 @@
   });
 }
 
+cell::OwnerHealth decodeHealth(const std::string &Text) {
+  return reading(Text, [](const Json &Body) {
+    return valueOf(cell::OwnerHealthNames, Body.at("health").get<std::string>())
+        .value_or(cell::OwnerHealth::Unknown);
+  });
+}
+
 AdviceRequest decodeAdviceRequest(const std::string &Text) {
   return reading(Text, [](const Json &Body) {
     AdviceRequest Request;
--- a/src/teaselwalk/node/peer_protocol.hpp
+++ b/src/teaselwalk/node/peer_protocol.hpp
@@ -11,6 +11,8 @@
 
 constexpr const char *JobPath = "/peer/job";
 constexpr const char *PendingPath = "/peer/pending";
+constexpr const char *IdentifyPath = "/peer/identify";
+constexpr const char *HealthPath = "/peer/owner-health";
 constexpr const char *AdvicePath = "/peer/advice";
 
 struct AdviceRequest {
@@ -21,12 +23,14 @@
 
 std::string encode(const cell::JobAnswer &Answer);
 std::string encode(const cell::PendingAnswer &Answer);
+std::string encode(cell::OwnerHealth Health);
 std::string encode(const AdviceRequest &Request);
 std::string encode(const cell::Advice &Answer);
 
 /// Each throws `Error` for anything that `encode` did not write.
 cell::JobAnswer decodeJobAnswer(const std::string &Text);
 cell::PendingAnswer decodePendingAnswer(const std::string &Text);
+cell::OwnerHealth decodeHealth(const std::string &Text);
 AdviceRequest decodeAdviceRequest(const std::string &Text);
 cell::Advice decodeAdvice(const std::string &Text);
 
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -15,7 +15,9 @@
 #include "teaselwalk/runtime/duty.hpp"
 #include "teaselwalk/runtime/log.hpp"
 
+#include <algorithm>
 #include <atomic>
+#include <charconv>
 #include <memory>
 #include <random>
 #include <thread>
@@ -36,6 +38,9 @@
 /// The processes compete for the ownership one after the other.
 constexpr int MaxClaimDelayMs = 60;
 
+/// Longest delay of the answer to a process that watches this one.
+constexpr Duration LongestIdentify{1000};
+
 /// The readiness that the core last published counts for this long.
 constexpr Duration ReadinessAge{1000};
 constexpr Duration PublishInterval{100};
@@ -186,6 +191,17 @@
       To.send({503, "{}"});
   }
 
+  /// Answers after the time that the caller asks for.
+  void identify(const http::Request &Message, const http::Responder &To) {
+    int64_t Wait = 0;
+    std::string Text = http::queryOf(Message, "wait_ms").value_or("0");
+    std::from_chars(Text.data(), Text.data() + Text.size(), Wait);
+    Core.after(std::clamp(Duration(Wait), Duration(0), LongestIdentify),
+               [this, To] {
+                 To.send({200, Decisions.process(), "text/plain"});
+               });
+  }
+
   void answerPeer(const std::string &Path, const http::Request &Message,
                   const http::Responder &To) {
     if (Path == JobPath)
@@ -194,6 +210,12 @@
     if (Path == PendingPath)
       return To.send({200, encode(Decisions.pendingHere(
                                http::queryOf(Message, "queue").value_or("")))});
+    if (Path == HealthPath)
+      return To.send(
+          {200, encode(Decisions.healthHere(
+                    http::queryOf(Message, "process").value_or("")))});
+    if (Path == IdentifyPath)
+      return identify(Message, To);
     if (Path != AdvicePath)
       return To.send({404, "{}"});
     try {
