cell: a process out of the store's reach refuses writes at once and is not ready

Starts went to silent endpoints for 2.6 s; their tasks wait for the end of the lease. Change: the renewal of the presence (every 300 ms, a tenth of a read) tells whether the store is in reach; writes are refused after 0.9 s without an answer, truly, as nothing was sent. Endpoints get no start after 1.4 s of silence. Test RefusesWritesAtOnceWhenTheStoreIsOutOfReach fails before, passes after.

--- a/include/teaselwalk/cell/front.hpp
+++ b/include/teaselwalk/cell/front.hpp
@@ -38,6 +38,8 @@
 struct FrontHooks {
   const Instructions *Current = nullptr;
   std::function<std::optional<TimePoint>()> ConfirmedAt;
+  /// When the store last took a call of this process.
+  std::function<TimePoint()> StoreTookAt;
   /// Reads the body of a submission; throws if it is not one.
   std::function<JobSpec(const std::string &Body)> DecodeSubmission;
 };
@@ -51,13 +53,16 @@
 
   void handle(const CallerRequest &Request, const Reply &Answer);
 
-  /// True if the copy of the configuration is recent enough to check keys.
-  bool isReady() const;
+  /// True if this process can check keys and store submissions.
+  bool isReady() const { return canCheckKeys() && reachesStore(); }
 
 private:
   struct Context;
   using ContextPtr = std::shared_ptr<Context>;
 
+  /// True if the copy of the configuration is recent enough.
+  bool canCheckKeys() const;
+  bool reachesStore() const;
   void submit(const ContextPtr &Call, const std::string &Body);
   void store(const ContextPtr &Call, const std::string &Record);
   void onStored(const ContextPtr &Call, const CommitResult &Result);
--- a/include/teaselwalk/cell/presence.hpp
+++ b/include/teaselwalk/cell/presence.hpp
@@ -28,6 +28,10 @@
 
   void start() { grant(); }
 
+  /// When the store last took a call of this process. Its renewals are the
+  /// most frequent ones.
+  TimePoint takenAt() const { return TakenAt; }
+
   /// Removes the key.
   void stop();
 
@@ -44,6 +48,7 @@
   const std::string Value;
   int64_t Lease = 0;
   bool Stopped = false;
+  TimePoint TakenAt;
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
--- a/src/teaselwalk/cell/cell.cpp
+++ b/src/teaselwalk/cell/cell.cpp
@@ -56,7 +56,7 @@
       Requests(Around.Clock, Around.Source, Around.Log, *this,
                Options.KeyRevocation,
                {&Current, [this] { return Operators.confirmedAt(); },
-                Options.DecodeSubmission}),
+                [this] { return Self.takenAt(); }, Options.DecodeSubmission}),
       YieldAfter(FirstYield) {}
 
 void Cell::start() {
--- a/src/teaselwalk/cell/front.cpp
+++ b/src/teaselwalk/cell/front.cpp
@@ -19,6 +19,10 @@
 /// A caller that was refused for want of the store comes again after this.
 constexpr Duration RetryAfter{1000};
 
+/// Without an answer for this time the store is taken for out of reach: two
+/// renewals of the presence in a row had none.
+constexpr Duration StoreContact{900};
+
 /// A request without a stated limit is answered within this time.
 constexpr Duration DefaultLimit{3000};
 
@@ -58,7 +62,11 @@
     : Clock(Clock), Source(Source), Log(Log), Owner(Owner),
       KeyRevocation(KeyRevocation), Hooks(std::move(Hooks)) {}
 
-bool Front::isReady() const {
+bool Front::reachesStore() const {
+  return Clock.now() - Hooks.StoreTookAt() < StoreContact;
+}
+
+bool Front::canCheckKeys() const {
   auto Confirmed = Hooks.ConfirmedAt();
   auto MaxAge = Duration(static_cast<int64_t>(
       KeyAgePart * static_cast<double>(KeyRevocation.count())));
@@ -85,7 +93,7 @@
   std::string Last = Request.Path.substr(Request.Path.rfind('/') + 1);
   if (isJobId(Last))
     Call->Id = JobId(Last);
-  if (!isReady())
+  if (!canCheckKeys())
     return refuse(Call, "the configuration is not confirmed");
   const Queue *Target = Config.findQueue(Request.Host, Request.Path);
   if (Target == nullptr)
@@ -107,6 +115,11 @@
     return finish(
         Call, {AnswerKind::Malformed, "a job id has 16 hexadecimal digits"});
   Call->Id = JobId(Rest);
+  bool IsWrite = Request.Action == CallerAction::Submit ||
+                 Request.Action == CallerAction::Cancel;
+  // Another process may reach the store, so the caller is told at once.
+  if (IsWrite && !reachesStore())
+    return refuse(Call, "the store is out of reach");
   if (Request.Action == CallerAction::Submit)
     return submit(Call, Request.Body);
   if (Request.Action == CallerAction::Status)
--- a/src/teaselwalk/cell/front_test.cpp
+++ b/src/teaselwalk/cell/front_test.cpp
@@ -72,6 +72,21 @@
   EXPECT_GT(Answers->front().RetryAfter.count(), 0);
 }
 
+// Guards against callers that wait for a store that their process cannot reach
+// while other processes can, and against a balancer that sends more of them.
+TEST_F(FrontTest, RefusesWritesAtOnceWhenTheStoreIsOutOfReach) {
+  World.Processes[0]->Store.IsSilent = true;
+  World.Clock.runFor(Duration(1500));
+  EXPECT_FALSE(World.Processes[0]->Decisions->isReady());
+  auto Answers = World.send(0, CallerAction::Submit, Job);
+  World.Clock.runFor(Duration(10));
+  ASSERT_EQ(Answers->size(), 1U);
+  EXPECT_EQ(Answers->front().Kind, AnswerKind::Refused);
+  World.Processes[0]->Store.IsSilent = false;
+  World.Clock.runFor(Duration(1500));
+  EXPECT_TRUE(World.Processes[0]->Decisions->isReady());
+}
+
 // Guards against bodies beyond the limit of the configuration.
 TEST_F(FrontTest, RefusesLargeBodies) {
   World.Config.Limits.MaxBodyBytes = 5;
--- a/src/teaselwalk/cell/owner_limits.hpp
+++ b/src/teaselwalk/cell/owner_limits.hpp
@@ -8,10 +8,14 @@
 /// Fencing tokens of one epoch; each lost order uses up one.
 constexpr int64_t TokensPerEpoch = 1000000;
 
-/// An endpoint that has not answered for this long gets no new work and no
-/// longer leases. A waiting renewal is answered after `RenewWait`.
+/// An endpoint that has not answered for this long gets no longer leases.
 constexpr Duration SilenceLimit{2600};
 
+/// An endpoint that has not answered for this long gets no start: without an
+/// answer the task waits there until the lease has ended. A waiting renewal is
+/// answered after `RenewWait`, the next one is sent after `RenewPause`.
+constexpr Duration StartSilence{1400};
+
 /// Longest wait of a renewal for an end.
 constexpr Duration RenewWait{1000};
 /// Wait where serving tasks share an endpoint with opportunistic ones.
--- a/src/teaselwalk/cell/owner_orders.cpp
+++ b/src/teaselwalk/cell/owner_orders.cpp
@@ -20,7 +20,7 @@
   return Endpoint.IsListed && !Endpoint.Info.Draining &&
          Endpoint.Info.Service == policyOf(Job).Service &&
          Endpoint.FencedToken == Endpoint.Token && Endpoint.Strays.empty() &&
-         Now - Endpoint.AnsweredAt < SilenceLimit &&
+         Now - Endpoint.AnsweredAt < StartSilence &&
          Endpoint.AvoidUntil <= Now &&
          Hooks.Current->EvacuatedDataCentres.count(Endpoint.Info.DataCentre) ==
              0;
--- a/src/teaselwalk/cell/presence.cpp
+++ b/src/teaselwalk/cell/presence.cpp
@@ -7,10 +7,13 @@
 namespace teaselwalk::cell {
 namespace {
 
-constexpr Duration PresenceLease{4000};
-constexpr Duration RenewInterval{1300};
-constexpr Duration RetryPause{500};
-constexpr Duration CallTimeout{1000};
+constexpr Duration PresenceLease{3000};
+/// A renewal costs a tenth of a read. It shows early that the store is out of
+/// reach.
+constexpr Duration RenewInterval{300};
+constexpr Duration RenewTimeout{400};
+constexpr Duration RetryPause{300};
+constexpr Duration CallTimeout{700};
 
 } // namespace
 
@@ -29,6 +32,7 @@
           return;
         if (Result.Outcome != StoreOutcome::Done)
           return later(RetryPause, &Presence::grant);
+        TakenAt = Clock.now();
         write(Result.Lease);
       });
 }
@@ -51,12 +55,14 @@
 
 void Presence::renew() {
   Target.renewLease(
-      Lease, CallTimeout,
+      Lease, RenewTimeout,
       [this, Token = std::weak_ptr<char>(Alive)](const LeaseResult &Result) {
         if (Token.expired() || Stopped)
           return;
         if (Result.Outcome == StoreOutcome::NotFound)
           return grant();
+        if (Result.Outcome == StoreOutcome::Done)
+          TakenAt = Clock.now();
         later(RenewInterval, &Presence::renew);
       });
 }
