cell: an endpoint's clock is dated to the answer; teams' work beyond their rate waits

Leases were up to 1 s longer than the owner believed; with lost answers it gave a task to another endpoint 0.33 s before the first lease ended. Ruled out: the takeover's margin (the former owner's limit is added there). Change: the clock is dated to the arrival of the answer, which can only make a lease shorter. Test WaitsForTheLeaseOfAMuteEndpoint fails before, passes after.

--- a/include/teaselwalk/cell/advice_desk.hpp
+++ b/include/teaselwalk/cell/advice_desk.hpp
@@ -13,8 +13,9 @@
 struct Question {
   StepKey Step;
   std::vector<EndpointId> Candidates;
-  Duration Expected{0}; ///< Time that the service needs for it.
-  TimePoint Deadline;   ///< Questions with the earliest one go first.
+  Duration Expected{0};  ///< Time that the service needs for it.
+  bool IsExcess = false; ///< Goes after all others.
+  TimePoint Deadline;    ///< Questions with the earliest one go first.
 };
 
 /// Spreads questions over the processes of the system. The service works on
--- a/include/teaselwalk/cell/job_state.hpp
+++ b/include/teaselwalk/cell/job_state.hpp
@@ -70,6 +70,8 @@
   /// Of the record that the job has alone, outside of bundles.
   int64_t AloneVersion = 0;
   TimePoint Objective; ///< Latest completion that is on time.
+  /// Beyond the rate that its team's weight covers.
+  bool IsExcess = false;
   std::vector<OccurrenceState> Occurrences;
 
   bool isEnded() const { return EndedMs != 0; }
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -8,6 +8,7 @@
 #include "teaselwalk/cell/journal.hpp"
 #include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
+#include "teaselwalk/cell/team_rates.hpp"
 
 #include <deque>
 #include <functional>
@@ -90,6 +91,7 @@
     StepKey Key;
     int32_t Priority = 0;
     bool IsHopeless = false; ///< Too late to be worth anything.
+    bool IsExcess = false;   ///< Beyond the rate of its team.
     TimePoint Objective;
   };
 
@@ -232,6 +234,7 @@
   /// forgotten and is listed again.
   int64_t HighestToken;
   std::unordered_map<std::string, Resources> TeamUsage;
+  TeamRates Rates;
   std::map<StepKey, StepAdvice> Advices;
   std::unordered_map<std::string, double> AllowedShare; ///< By queue.
   /// Run time over the declared one, by queue.
--- a/src/teaselwalk/cell/advice_desk.cpp
+++ b/src/teaselwalk/cell/advice_desk.cpp
@@ -1,6 +1,7 @@
 #include "teaselwalk/cell/advice_desk.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace teaselwalk::cell {
@@ -39,7 +40,8 @@
 
 void AdviceDesk::ask(Question Asked, Callback Done) {
   auto IsLater = [&](const Entry &Other) {
-    return Asked.Deadline < Other.Asked.Deadline;
+    return std::tie(Asked.IsExcess, Asked.Deadline) <
+           std::tie(Other.Asked.IsExcess, Other.Asked.Deadline);
   };
   auto At = std::find_if(Waiting.begin(), Waiting.end(), IsLater);
   Waiting.insert(At, {std::move(Asked), std::move(Done), Clock.now(), 0});
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -95,6 +95,7 @@
                               Policy.AdvicePerEndpointMs *
                               static_cast<double>(Asked.Candidates.size())));
   Asked.Deadline = Job.Objective;
+  Asked.IsExcess = Job.IsExcess;
   Advice.InFlight = true;
   Log.count("advice_asked");
   std::vector<EndpointId> Named = Asked.Candidates;
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -122,6 +122,9 @@
         Duration(static_cast<int64_t>(static_cast<double>(Chain.count()) *
                                       Job.Spec.Policy.SlackFactor)) +
         Job.Spec.Policy.Target;
+    if (const Team *Owning = Hooks.Current->Config.teamNamed(Job.Spec.Team))
+      Job.IsExcess =
+          Rates.addAndCheck(Owning->Name, Job.Spec.AcceptedMs, Owning->Weight);
     Jobs[Id] = std::move(Added);
     restoreAssignments(Job);
     if (!Job.isEnded())
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -99,7 +99,8 @@
       It = Backlog.erase(It);
       continue;
     }
-    Candidate Next{Job, *It, policyOf(*Job).Priority, false, Job->Objective};
+    Candidate Next{Job,   *It,           policyOf(*Job).Priority,
+                   false, Job->IsExcess, Job->Objective};
     Duration Allowed = Job->Objective - Now +
                        Duration(Clock.wallMillis() - Job->Spec.AcceptedMs);
     bool IsService = Job->Spec.Steps[static_cast<size_t>(It->Step)].Service;
@@ -110,8 +111,9 @@
   }
   std::sort(Result.begin(), Result.end(),
             [](const Candidate &A, const Candidate &B) {
-              return std::tie(A.IsHopeless, A.Priority, A.Objective, A.Key) <
-                     std::tie(B.IsHopeless, B.Priority, B.Objective, B.Key);
+              return std::tie(A.IsHopeless, A.IsExcess, A.Priority, A.Objective,
+                              A.Key) < std::tie(B.IsHopeless, B.IsExcess,
+                                                B.Priority, B.Objective, B.Key);
             });
   return Result;
 }
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -96,7 +96,9 @@
     Endpoint.LatestAnswered = Number;
     Endpoint.AnsweredAt = Now;
     Endpoint.ClockMs = Result.ClockMs;
-    Endpoint.ClockReadAt = Sent;
+    // The clock was read at the end of the wait. Dated too early it would make
+    // leases longer than this owner believes.
+    Endpoint.ClockReadAt = Now;
     Endpoint.FencedToken = std::max(Endpoint.FencedToken, Token);
     bool SameLife = noteLife(Endpoint, Result);
     Endpoint.IsLifeConfirmed = true;
--- a/src/teaselwalk/cell/testing/fake_endpoints.hpp
+++ b/src/teaselwalk/cell/testing/fake_endpoints.hpp
@@ -3,6 +3,7 @@
 #include "fake_cluster.hpp"
 
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace teaselwalk::cell::testing {
@@ -17,6 +18,8 @@
   /// Number of coming starts that have no answer and are done this much later.
   int DelayStarts = 0;
   Duration StartDelay{4000};
+  /// These carry out renewals, but their answers are lost.
+  std::set<EndpointId> Mute;
   /// Number of coming starts that are done without an answer.
   int LoseStarts = 0;
 
@@ -85,6 +88,8 @@
     RenewResult Found = Cluster.renew(Cluster.Machines[Id], Order);
     bool IsOver = Found.Outcome != OrderOutcome::Done || !Found.Ends.empty() ||
                   Network.now() >= End;
+    if (IsOver && Mute.count(Id) != 0)
+      return Own.after(OrderTimeout, [Done] { Done({}); });
     if (IsOver)
       return Own.after(Latency, [Done, Found] { Done(Found); });
     Network.after(PollInterval, [=, Done = std::move(Done)]() mutable {
