cell: the owner confirms its record, not only its lease

Cause: since an owner can be replaced before its lease ends, its lease outlives its record. Renewals of the lease then confirmed an ownership that was gone, and the former owner could extend task leases for longer than the new owner waits. Test AReplacedOwnerWithoutNewsStops fails before, passes after.

--- a/include/teaselwalk/cell/leadership.hpp
+++ b/include/teaselwalk/cell/leadership.hpp
@@ -95,6 +95,8 @@
   void gain(int64_t NewLease, const GuardRecord &Record, int64_t Revision);
   void giveUpClaim(int64_t NewLease);
   void renew();
+  void checkRecord(TimePoint Sent);
+  void renewLater();
 
   template <typename Call> auto guarded(Call Body) const {
     return Alive.guard(std::move(Body));
--- a/src/teaselwalk/cell/leadership.cpp
+++ b/src/teaselwalk/cell/leadership.cpp
@@ -269,7 +269,7 @@
   Seen = OwnerRecord{Running.Process, Running.Self, Record.Epoch};
   Log.event(EventName::OwnerClaimed, {{"epoch", std::to_string(Record.Epoch)},
                                       {"revision", std::to_string(Revision)}});
-  Clock.after(RenewInterval, guarded([this] { renew(); }));
+  renewLater();
   Calls.Gained(Record, Revision);
 }
 
@@ -288,17 +288,40 @@
                     guarded([this, Sent, Renewed](const LeaseResult &Result) {
                       if (!isOwner() || Lease != Renewed)
                         return;
-                      if (Result.Outcome == StoreOutcome::Done)
-                        ConfirmedAt = Sent;
                       if (Result.Outcome == StoreOutcome::NotFound)
                         return depose("the lease has lapsed");
-                      Clock.after(RenewInterval, guarded([this, Renewed] {
-                                    if (Lease == Renewed)
-                                      renew();
-                                  }));
+                      if (Result.Outcome == StoreOutcome::Done)
+                        return checkRecord(Sent);
+                      renewLater();
                     }));
 }
 
+/// The lease outlives the record when another process has replaced the record.
+void Leadership::checkRecord(TimePoint Sent) {
+  Source.read(OwnerKey, RenewTimeout,
+              guarded([this, Sent, Checked = Lease](const StoreItems &Found) {
+                if (!isOwner() || Lease != Checked)
+                  return;
+                bool IsGone = Found.Outcome == StoreOutcome::NotFound;
+                if (Found.Outcome == StoreOutcome::Done)
+                  IsGone =
+                      OwnerRecord::decode(Found.Items.front().Value).Process !=
+                      Running.Process;
+                if (IsGone)
+                  return depose("the record of the owner was replaced");
+                if (Found.Outcome == StoreOutcome::Done)
+                  ConfirmedAt = Sent;
+                renewLater();
+              }));
+}
+
+void Leadership::renewLater() {
+  Clock.after(RenewInterval, guarded([this, Renewed = Lease] {
+                if (Lease == Renewed)
+                  renew();
+              }));
+}
+
 void Leadership::depose(const char *Reason) {
   if (!isOwner())
     return;
--- a/src/teaselwalk/cell/leadership_test.cpp
+++ b/src/teaselwalk/cell/leadership_test.cpp
@@ -91,6 +91,22 @@
   EXPECT_EQ(World.ownerIndex(), First);
 }
 
+// Guards against a replaced owner that goes on because its lease still lives
+// and its watch does not show the new owner.
+TEST_F(OwnerFailureTest, AReplacedOwnerWithoutNewsStops) {
+  begin(4);
+  FakeProcess &Former = *World.Processes[First];
+  Former.Peers.IsCut = true;
+  Former.Store.IsDeaf = true;
+  Former.Workers.IsCut = true;
+  World.Clock.runFor(Duration(2000));
+  EXPECT_FALSE(Former.Decisions->isOwner());
+  int Owners = 0;
+  for (auto &Process : World.Processes)
+    Owners += Process->Decisions->isOwner() ? 1 : 0;
+  EXPECT_EQ(Owners, 1);
+}
+
 // Guards against processes that have all restarted and wait for the lease of
 // an owner that is gone.
 TEST_F(OwnerFailureTest, RestartedProcessesReplaceAnOwnerThatIsGone) {
--- a/src/teaselwalk/cell/testing/fake_store.hpp
+++ b/src/teaselwalk/cell/testing/fake_store.hpp
@@ -166,6 +166,7 @@
 
   bool IsSilent = false;   ///< No answer; nothing is done.
   bool IsRefusing = false; ///< Answers that nothing was done.
+  bool IsDeaf = false;     ///< Watches show no changes.
   /// Number of coming writes that are done without an answer.
   int LoseAnswers = 0;
   /// Number of coming writes that have no answer and are done this much later.
@@ -267,6 +268,8 @@
       if (IsSilent || IsRefusing)
         return Own.after(Duration(500), [Done] { Done({}); });
       StoreItems Found = Shared.changes(Prefix, Revision);
+      if (IsDeaf)
+        Found = {StoreOutcome::Done, {}, Revision};
       bool IsOver = Found.Outcome != StoreOutcome::Done ||
                     !Found.Items.empty() || Network.now() >= End;
       if (!IsOver)
