--- a/src/teaselwalk/cell/random_faults_test.cpp
+++ b/src/teaselwalk/cell/random_faults_test.cpp
@@ -13,7 +13,7 @@
 /// accepted work must end.
 class RandomDay {
 public:
-  explicit RandomDay(uint32_t Seed) : Chance(Seed) {}
+  RandomDay(uint32_t Seed, uint32_t Kinds) : Chance(Seed), Kinds(Kinds) {}
 
   void play() {
     if (std::getenv("FUZZ_TRACE") != nullptr)
@@ -109,7 +109,7 @@
     if (Index >= World.Processes.size())
       Index = liveProcess();
     FakeProcess &Process = *World.Processes[Index];
-    uint32_t Kind = among(13);
+    uint32_t Kind = among(Kinds);
     if (World.Cluster.Trace)
       World.Cluster.Trace(
           std::to_string(World.Clock.now().time_since_epoch().count()) +
@@ -177,6 +177,40 @@
       World.Clock.runFor(Duration(among(4000)));
       Process.Workers.IsCut = false;
       break;
+    case 13:
+      Process.Peers.IsCut = true;
+      World.Clock.runFor(Duration(500 + among(6000)));
+      Process.Peers.IsCut = false;
+      break;
+    case 14: {
+      EndpointId Id = someEndpoint();
+      for (auto &Other : World.Processes)
+        Other->Workers.Mute.insert(Id);
+      World.Clock.runFor(Duration(500 + among(7000)));
+      for (auto &Other : World.Processes)
+        Other->Workers.Mute.clear();
+      break;
+    }
+    case 15:
+      for (auto &Other : World.Processes)
+        Other->Store.Latency = Duration(120);
+      World.Clock.runFor(Duration(500 + among(5000)));
+      for (auto &Other : World.Processes)
+        Other->Store.Latency = Duration(2);
+      break;
+    case 16:
+      // A data centre that is cut off: only its own endpoints are in reach.
+      Process.Peers.IsCut = true;
+      Process.Store.IsSilent = true;
+      World.Clock.runFor(Duration(500 + among(6000)));
+      Process.Peers.IsCut = false;
+      Process.Store.IsSilent = false;
+      break;
+    case 17:
+      Process.Store.IsDeaf = true;
+      World.Clock.runFor(Duration(500 + among(4000)));
+      Process.Store.IsDeaf = false;
+      break;
     default:
       for (auto &Other : World.Processes)
         Other->Store.IsSilent = true;
@@ -198,14 +232,20 @@
 
   FakeWorld World;
   std::mt19937 Chance;
+  const uint32_t Kinds;
   std::vector<JobSpec> Accepted;
   std::vector<JobId> Refused;
   int Number = 0;
 };
 
+/// Kinds of faults: those of one process or endpoint, and all of them.
+constexpr uint32_t SingleFaults = 13;
+constexpr uint32_t AllFaults = 18;
+
 /// Seeds of CI; `FUZZ_SEED` and `FUZZ_CASES` choose others.
 constexpr uint32_t FirstSeed = 20261204;
 constexpr uint32_t Days = 60;
+constexpr uint32_t NetworkDays = 30;
 
 uint32_t fromEnvironment(const char *Name, uint32_t Default) {
   const char *Text = std::getenv(Name);
@@ -215,12 +255,12 @@
 // Guards against every combination of faults that breaks a rule: too much on
 // an endpoint, a task that runs twice, a step that starts too early, a refused
 // job that runs, accepted work that never ends.
-TEST(RandomFaultsTest, KeepsTheRulesAndEndsAllWork) {
+void playDays(uint32_t Kinds, uint32_t DefaultCount) {
   uint32_t First = fromEnvironment("FUZZ_SEED", FirstSeed);
-  uint32_t Count = fromEnvironment("FUZZ_CASES", Days);
+  uint32_t Count = fromEnvironment("FUZZ_CASES", DefaultCount);
   for (uint32_t Seed = First; Seed < First + Count; ++Seed) {
     SCOPED_TRACE("seed " + std::to_string(Seed));
-    RandomDay Day(Seed);
+    RandomDay Day(Seed, Kinds);
     Day.play();
     Day.check();
     if (::testing::Test::HasFailure())
@@ -228,5 +268,15 @@
   }
 }
 
+TEST(RandomFaultsTest, KeepsTheRulesAndEndsAllWork) {
+  playDays(SingleFaults, Days);
+}
+
+// The same with cuts between processes, answers that are lost, a slow store and
+// watches that show no changes.
+TEST(RandomFaultsTest, KeepsTheRulesWithNetworkFaults) {
+  playDays(AllFaults, NetworkDays);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
