--- a/include/teaselwalk/cluster/ownership.hpp
+++ b/include/teaselwalk/cluster/ownership.hpp
@@ -71,10 +71,9 @@
   bool HeldByPeer = false; ///< A live peer reports the shard as held.
 };
 
-/// Strategy of ownership: with the epoch check (`ShardOwnership`) or with a
-/// store lease (`PlainOwnership`). Every call passes the present time, which
-/// never decreases. A call with a time after a long gap (a paused process) is
-/// safe: authority depends on send times only.
+/// Strategy of ownership (`ShardOwnership`). Every call passes the present
+/// time, which never decreases. A call with a time after a long gap (a paused
+/// process) is safe: authority depends on send times only.
 class Ownership {
 public:
   virtual ~Ownership() = default;
