cell: records of processes that cannot be read are passed over

A record without the fields of this version would have ended the copy of the process list, or kept every process from claiming the ownership. They are logged and left out. Test MalformedPresenceIsPassedOver fails before (the exception leaves the callback), passes after.

--- a/include/teaselwalk/cell/presence.hpp
+++ b/include/teaselwalk/cell/presence.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/ports.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace teaselwalk::cell {
@@ -17,6 +18,10 @@
   static PresenceRecord decode(const std::string &Text);
 };
 
+/// The record in \p Item; nothing, with a log line, if it cannot be read.
+std::optional<PresenceRecord> readPresence(const StoreItem &Item,
+                                           Recorder &Log);
+
 /// Keeps a key of this process in the store, under a lease, so that the others
 /// find it.
 class Presence {
--- a/src/teaselwalk/cell/cell.cpp
+++ b/src/teaselwalk/cell/cell.cpp
@@ -120,10 +120,13 @@
   std::string Name = Item.Key.substr(std::string(ProcessPrefix).size());
   if (Name == Options.Name)
     return;
-  if (Item.Deleted)
-    Peers.erase(Name);
+  std::optional<PresenceRecord> Peer;
+  if (!Item.Deleted)
+    Peer = readPresence(Item, Around.Log);
+  if (Peer)
+    Peers[Name] = *Peer;
   else
-    Peers[Name] = PresenceRecord::decode(Item.Value);
+    Peers.erase(Name);
   updateLanes();
   yieldLater(Duration(0));
 }
--- a/src/teaselwalk/cell/leadership.cpp
+++ b/src/teaselwalk/cell/leadership.cpp
@@ -84,7 +84,14 @@
       scheduleClaim(Running.ClaimDelay);
     return;
   }
-  Seen = OwnerRecord::decode(Item.Value);
+  try {
+    Seen = OwnerRecord::decode(Item.Value);
+  } catch (const Error &Failure) {
+    // Its lease ends, as its writer does not renew it.
+    Log.event(EventName::RecordMalformed,
+              {{"key", Item.Key}, {"reason", Failure.what()}});
+    return;
+  }
   SeenRevision = Item.Revision;
   bool IsOwn = Seen->Process == Running.Process;
   // A much weaker process would not replace the owner at once.
@@ -136,12 +143,14 @@
   bool StrongerIsPresent = false;
   std::vector<protocol::Address> Others;
   for (const StoreItem &Item : Processes.Items) {
-    PresenceRecord Other = PresenceRecord::decode(Item.Value);
-    bool IsOwner = Seen && Other.Address == Seen->Self.Address;
-    StrongerIsPresent |= !IsOwner && isMuchStronger(Other, Running.Self);
-    bool Watches = !Seen || !isMuchStronger(Seen->Self, Other);
-    if (!IsOwner && Watches && Other.Address != Running.Self.Address)
-      Others.push_back(Other.Address);
+    std::optional<PresenceRecord> Other = readPresence(Item, Log);
+    bool IsOwner = Other && Seen && Other->Address == Seen->Self.Address;
+    if (!Other || IsOwner)
+      continue;
+    StrongerIsPresent |= isMuchStronger(*Other, Running.Self);
+    bool Watches = !Seen || !isMuchStronger(Seen->Self, *Other);
+    if (Watches && Other->Address != Running.Self.Address)
+      Others.push_back(Other->Address);
   }
   if (Seen && Watch.health(Seen->Process) == OwnerHealth::Suspected)
     return confirmSuspicion(Others);
--- a/src/teaselwalk/cell/leadership_test.cpp
+++ b/src/teaselwalk/cell/leadership_test.cpp
@@ -1,5 +1,7 @@
 #include "testing/fake_world.hpp"
 
+#include "teaselwalk/cell/keys.hpp"
+
 #include <gtest/gtest.h>
 
 namespace teaselwalk::cell::testing {
@@ -25,6 +27,17 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against a record of a process that cannot be read and keeps all
+// processes from owning the jobs.
+TEST(LeadershipTest, MalformedPresenceIsPassedOver) {
+  FakeWorld World;
+  World.Store.put(std::string(ProcessPrefix) + "other", "not a record");
+  World.addEndpoints(1);
+  World.addProcesses(2);
+  World.Clock.runFor(Duration(1500));
+  EXPECT_LT(World.ownerIndex(), World.Processes.size());
+}
+
 // Guards against processes of the same strength that wait for each other.
 TEST(LeadershipTest, EqualProcessesDoNotHandOver) {
   FakeWorld World;
--- a/src/teaselwalk/cell/presence.cpp
+++ b/src/teaselwalk/cell/presence.cpp
@@ -82,6 +82,17 @@
   }
 }
 
+std::optional<PresenceRecord> readPresence(const StoreItem &Item,
+                                           Recorder &Log) {
+  try {
+    return PresenceRecord::decode(Item.Value);
+  } catch (const Error &Failure) {
+    Log.event(EventName::RecordMalformed,
+              {{"key", Item.Key}, {"reason", Failure.what()}});
+    return std::nullopt;
+  }
+}
+
 std::string PresenceRecord::encode() const {
   return nlohmann::json{
       {"ip", Address.Ip}, {"port", Address.Port}, {"strength", Strength}}
