--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -125,8 +125,10 @@
   // owner_store.cpp
   void markChanged(JobState &Job);
   void queueWrite(const JobId &Id);
+  /// Takes the next job out of `Changed`; null if there is none.
+  const JobState *nextChanged();
   void flush();
-  void onFlushed(const Flush &Written);
+  void onFlushed(const Flush &Stored);
   void acknowledgeStored(const JobId &Id);
   void endJob(JobState &Job, JobStatus Status);
 
--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -24,17 +24,14 @@
       BundlePrefix + std::to_string(Epoch) + '-' + std::to_string(NextBundle++);
   Json Records = Json::object();
   size_t Bytes = 0;
-  while (!Changed.empty() && Bytes < MaxBytes) {
-    JobId Id = std::move(Changed.front());
-    Changed.pop_front();
-    InChanged.erase(Id);
-    JobState *Job = jobOf(Id);
+  while (Bytes < MaxBytes) {
+    const JobState *Job = nextChanged();
     if (Job == nullptr)
-      continue;
+      break;
     std::string Record = Job->encode();
     Bytes += Record.size();
-    Next.Bundled.emplace_back(Id, Job->Version);
-    Records[Id.str()] = std::move(Record);
+    Next.Bundled.emplace_back(Job->Spec.Id, Job->Version);
+    Records[Job->Spec.Id.str()] = std::move(Record);
   }
   return Records.dump();
 }
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -33,23 +33,30 @@
     Changed.push_back(Id);
 }
 
+const JobState *Owner::nextChanged() {
+  while (!Changed.empty()) {
+    JobId Id = std::move(Changed.front());
+    Changed.pop_front();
+    InChanged.erase(Id);
+    if (const JobState *Job = jobOf(Id))
+      return Job;
+  }
+  return nullptr;
+}
+
 void Owner::flush() {
   if (Writes.isBusy() || Changed.empty())
     return;
   StoreTransaction Change;
   Flush Next;
   size_t Bytes = 0;
-  while (!Changed.empty() && Change.Puts.size() < RecordsPerWrite &&
-         Bytes < MaxWriteBytes) {
-    JobId Id = std::move(Changed.front());
-    Changed.pop_front();
-    InChanged.erase(Id);
-    JobState *Job = jobOf(Id);
+  while (Change.Puts.size() < RecordsPerWrite && Bytes < MaxWriteBytes) {
+    const JobState *Job = nextChanged();
     if (Job == nullptr)
-      continue;
-    Change.Puts.push_back({stateKey(Id), Job->encode(), 0});
+      break;
+    Change.Puts.push_back({stateKey(Job->Spec.Id), Job->encode(), 0});
     Bytes += Change.Puts.back().Value.size();
-    Next.Alone.emplace_back(Id, Job->Version);
+    Next.Alone.emplace_back(Job->Spec.Id, Job->Version);
   }
   if (!Changed.empty() && Bytes < MaxWriteBytes) {
     std::string Value = encodeBundle(Next, MaxWriteBytes - Bytes);
