--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -64,6 +64,9 @@
   bool IsCut = false;
 
 private:
+  static constexpr Duration Slack{300}; ///< Of a question's time.
+  static constexpr Duration Latency{2};
+
   FakeProcess *at(const protocol::Address &To) const;
 
   FakeWorld &World;
@@ -266,10 +269,9 @@
 inline void
 FakePeers::identify(const protocol::Address &To, Duration Wait,
                     std::function<void(std::optional<std::string>)> Done) {
-  constexpr Duration Slack{300};
-  constexpr Duration Latency{2};
   auto IsAnswered = std::make_shared<bool>(false);
-  auto Finish = [this, Done, IsAnswered](std::optional<std::string> Process) {
+  auto Finish = [this, Done,
+                 IsAnswered](const std::optional<std::string> &Process) {
     if (!std::exchange(*IsAnswered, true))
       Own.after(Latency, [Done, Process] { Done(Process); });
   };
