lint: the cache key depends on the source text again

Cause: the sed expression that removes -c joined the source's path to the flag before it, so the preprocessor failed unseen and the key held no text. A changed source counted as checked. Ruled out: clang-tidy itself, which reports the fault when it runs. Change: -c becomes a space, a failed preprocessor run fails the check, and comments stay in the text because suppressions are comments. Result: scripts/lint_test.sh fails with the former script ('a fault in a header of a source that passed: expected failed, got clean') and passes now.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -17,10 +17,15 @@
 PY
 
 check_file() {
-  local build=$1 cache=$2 file=$3 command=$4 key
+  local build=$1 cache=$2 file=$3 command=$4 key text
   # The command without the compiler cache, its output and dependency files.
-  command=$(sed -E 's#^[^ ]*ccache ##; s# -o [^ ]+##; s# -c ##; s# -M[DTF]( [^ ]+\.(o|d))?##g' <<<"$command")
-  key=$({ eval "$command -E -P" 2>/dev/null; cat .clang-tidy; echo "$command" | sed "s#$PWD##g"; clang-tidy --version; } | sha256sum | cut -d' ' -f1)
+  command=$(sed -E 's#^[^ ]*ccache ##; s# -o [^ ]+##; s# -c # #; s# -M[DTF]( [^ ]+\.(o|d))?##g' <<<"$command")
+  # Comments stay in the text because the linter reads suppressions in them.
+  if ! text=$(eval "$command -E -P -C"); then
+    echo "lint: cannot preprocess $file"
+    return 1
+  fi
+  key=$({ echo "$text"; cat .clang-tidy; echo "$command" | sed "s#$PWD##g"; clang-tidy --version; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$key" ] && return 0
   # GCC's warning flags that clang-tidy does not know are harmless here.
   if clang-tidy -quiet -p "$build" --extra-arg=-Wno-unknown-warning-option "$file" 2>/dev/null; then
