cell: a gang gets all its tickets together

Three more faults of the same code: renewals, always granted, counted as samples of the allowed share, so requests named too few endpoints; a refusal was kept for an endpoint's id, though it holds for one incarnation; an answer of no use (unknown endpoint, ticket twice, no validity) counted as advice and was asked again without a pause. Ruled out: room (most of the fleet was free) and routes (answers came within 0.75 s). Change: planAdvice chooses what a request names. For a gang it counts the tickets that outlast the request and renews the others; it asks until the expected places less one standard deviation suffice; a long request names the endpoints with the most room.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "teaselwalk/cell/advice_dispatcher.hpp"
+#include "teaselwalk/cell/advice_plan.hpp"
 #include "teaselwalk/cell/configuration.hpp"
 #include "teaselwalk/cell/endpoint_table.hpp"
 #include "teaselwalk/cell/fenced_writer.hpp"
@@ -83,18 +84,27 @@
   }
 
 private:
-  /// Permission of the advisory service to run tasks on one endpoint.
-  struct Ticket {
-    std::string Text;
+  /// What the advisory service has answered about a step on one endpoint.
+  struct EndpointAdvice {
+    bool IsAllowed = false;
+    std::string Ticket; ///< Needed to start the step's tasks there.
     TimePoint ValidUntil;
+    /// The incarnation that was asked about. The answer does not hold for
+    /// another one.
+    int64_t IncarnationMs = 0;
   };
   /// What the advisory service has answered about one step.
   struct StepAdvice {
-    std::unordered_map<EndpointId, Ticket> Allowed;
-    std::unordered_set<EndpointId> Refused;
+    std::unordered_map<EndpointId, EndpointAdvice> Endpoints;
     bool IsInFlight = false; ///< A request is not answered yet.
     TimePoint NotBefore;     ///< No new request earlier.
   };
+  /// Endpoints in requests of a queue and how many of them were allowed,
+  /// without renewals. Starts with a few assumed answers.
+  struct AllowedCount {
+    double Asked = 8;
+    double Allowed = 4;
+  };
   /// A step with waiting tasks, and what decides when it is placed.
   struct BacklogStep {
     JobProgress *Job = nullptr;
@@ -227,10 +237,22 @@
 
   // owner_advice.cpp
   StepAdvice *adviceFor(const JobProgress &Job, const StepKey &Key);
+  /// Asks for tickets for \p Wanted tasks of a step.
   void askAdvice(const JobProgress &Job, const StepKey &Key, StepAdvice &Advice,
                  int32_t Wanted);
+  std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
+                                                const StepKey &Key,
+                                                const StepAdvice &Advice) const;
+  double allowedShare(const std::string &Queue) const;
+  /// False if the answer names endpoints that were not asked about, one twice,
+  /// or tickets that have expired.
+  static bool isUsable(const std::vector<EndpointId> &Asked,
+                       const cell::Advice &Result);
   void onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
-                const std::string &Queue, TimePoint Sent, const Advice &Result);
+                TimePoint Sent, const cell::Advice &Result);
+  void recordAdvice(const JobProgress &Job, StepAdvice &Advice,
+                    const std::vector<EndpointId> &Asked,
+                    const cell::Advice &Result);
 
   const QueuePolicy &policyOf(const JobProgress &Job) const;
   JobProgress *jobOf(const JobId &Id);
@@ -274,9 +296,7 @@
   std::unordered_map<std::string, Resources> TeamUsage;
   TeamRates Rates;
   std::map<StepKey, StepAdvice> StepAdvices;
-  /// Share of the endpoints in a request that the advisory service allows,
-  /// smoothed, by queue.
-  std::unordered_map<std::string, double> AllowedShare;
+  std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
   std::unordered_map<std::string, double> RunTimeRatio;
   int64_t NextBundle = 1;       ///< Number in the key of the next bundle.
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "teaselwalk/cell/advice_dispatcher.hpp"
 
+#include "teaselwalk/cell/advice_plan.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -7,9 +9,8 @@
 namespace teaselwalk::cell {
 namespace {
 
-/// Requests that take longer may not use the reserved routes.
-constexpr Duration LongRequest{150};
-/// One route in this many is reserved for short requests.
+/// Long requests may not use the reserved routes: one in this many is reserved
+/// for short requests.
 constexpr size_t RoutesPerReservedRoute = 4;
 /// Added to twice the expected time before a request counts as lost, for the
 /// network and for other routes that the service answers in between.
@@ -66,7 +67,8 @@
 
 void AdviceDispatcher::dispatch() {
   for (auto It = Waiting.begin(); It != Waiting.end();) {
-    std::shared_ptr<Route> Free = freeRoute(It->Asked.Expected > LongRequest);
+    std::shared_ptr<Route> Free =
+        freeRoute(It->Asked.Expected > LongAdviceRequest);
     if (!Free) {
       ++It;
       continue;
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -1,32 +1,25 @@
 #include "owner_limits.hpp"
 
+#include "teaselwalk/cell/advice_plan.hpp"
 #include "teaselwalk/cell/owner.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace teaselwalk::cell {
 namespace {
 
-/// The advisory service accepts at most this many endpoints in a request.
-constexpr size_t MaxCandidates = 100;
-/// A request names so many endpoints that, at the share that the queue was
-/// allowed before, this many times the wanted places become available: other
-/// tasks take some of them in the meantime.
-constexpr double CandidateReserve = 1.4;
 /// A ticket is not used in this last part of its validity, because the start
 /// request takes time to arrive.
 constexpr Duration TicketMargin{250};
-/// Pause of a step after a request that was refused or not answered.
+/// Pause of a step after a request that was refused or not answered, or whose
+/// answer is of no use.
 constexpr Duration UnansweredPause{300};
 /// Pause of a step for which there is no endpoint to ask about.
 constexpr Duration NoCandidatePause{80};
-/// Weight of the newest answer in the average share of endpoints that a queue
-/// is allowed.
-constexpr double ShareWeight = 0.15;
-/// Share before the first answer, and lower bound of the average.
-constexpr double InitialShare = 0.5;
-constexpr double MinShare = 0.1;
+/// Lower bound of the share of endpoints that a queue is allowed.
+constexpr double MinShare = 0.05;
+/// Endpoints after which the answers of a queue count half as much.
+constexpr double ShareWindow = 400;
 
 int64_t tasksThatFit(const Resources &Need, const Resources &Room) {
   int64_t TaskCount = 64;
@@ -43,109 +36,148 @@
   return policyOf(Job).NeedsAdvice ? &StepAdvices[Key] : nullptr;
 }
 
-void Owner::askAdvice(const JobProgress &Job, const StepKey &Key,
-                      StepAdvice &Advice, int32_t Wanted) {
-  TimePoint Now = Clock.now();
-  if (Advice.IsInFlight || Advice.NotBefore > Now)
-    return;
+std::vector<AdviceCandidate>
+Owner::adviceCandidates(const JobProgress &Job, const StepKey &Key,
+                        const StepAdvice &Advice) const {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
-  const QueuePolicy &Policy = policyOf(Job);
-  struct Choice {
-    EndpointId Id;
-    double Score;
-    double Chance;
-    int64_t TaskCount;
-  };
-  auto Learned = AllowedShare.find(Job.Spec.Queue);
-  double Share = Learned == AllowedShare.end() ? InitialShare : Learned->second;
-  std::vector<Choice> Choices;
-  for (auto &[Id, Endpoint] : Table) {
-    if (!mayStartOn(Endpoint, Job) || Advice.Refused.count(Id) != 0)
+  TimePoint Now = Clock.now();
+  std::vector<AdviceCandidate> Result;
+  for (const auto &[Id, Endpoint] : Table) {
+    auto Known = Advice.Endpoints.find(Id);
+    bool IsKnown = Known != Advice.Endpoints.end() &&
+                   Known->second.IncarnationMs == Endpoint.IncarnationMs;
+    bool IsRefused = IsKnown && !Known->second.IsAllowed;
+    if (IsRefused || !mayStartOn(Endpoint, Job))
       continue;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       continue;
-    auto Known = Advice.Allowed.find(Id);
-    bool IsAllowed = Known != Advice.Allowed.end();
-    if (IsAllowed && Known->second.ValidUntil > Now)
-      continue;
     Resources Room = Endpoint.freeCapacity();
     if (Step.Opportunistic)
       Room.MilliCpu -= Endpoint.OpportunisticCpu;
-    int64_t TaskCount = tasksThatFit(Step.Need, Room);
+    int64_t Places = tasksThatFit(Step.Need, Room);
     if (Step.MaxPerEndpoint > 0)
-      TaskCount = std::min<int64_t>(TaskCount, Step.MaxPerEndpoint -
-                                                   countTasksOn(Endpoint, Key));
-    if (TaskCount > 0)
-      Choices.push_back({Id, score(Endpoint, Step) - (IsAllowed ? 1e9 : 0),
-                         IsAllowed ? 1.0 : Share, TaskCount});
+      Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
+                                             countTasksOn(Endpoint, Key));
+    if (Places <= 0)
+      continue;
+    Duration TicketLeft =
+        IsKnown ? std::max(Duration(0), Known->second.ValidUntil - Now)
+                : Duration(0);
+    Result.push_back({Id, Places, score(Endpoint, Step), IsKnown, TicketLeft});
   }
-  if (Choices.empty()) {
+  return Result;
+}
+
+double Owner::allowedShare(const std::string &Queue) const {
+  auto Found = AllowedCounts.find(Queue);
+  AllowedCount Count =
+      Found == AllowedCounts.end() ? AllowedCount() : Found->second;
+  return std::max(MinShare, Count.Allowed / Count.Asked);
+}
+
+void Owner::askAdvice(const JobProgress &Job, const StepKey &Key,
+                      StepAdvice &Advice, int32_t Wanted) {
+  TimePoint Now = Clock.now();
+  if (Advice.IsInFlight || Advice.NotBefore > Now)
+    return;
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  const QueuePolicy &Policy = policyOf(Job);
+  AdviceNeed Need;
+  Need.Tasks = Wanted;
+  Need.StartsTogether = Step.Gang;
+  Need.AllowedShare = allowedShare(Job.Spec.Queue);
+  Need.Base = Policy.AdviceBase;
+  Need.PerEndpointMs = Policy.AdvicePerEndpointMs;
+  AdviceRequest Asked;
+  Asked.Candidates = planAdvice(Need, adviceCandidates(Job, Key, Advice));
+  if (Asked.Candidates.empty()) {
     Advice.NotBefore = Now + NoCandidatePause;
     return;
   }
-  std::sort(Choices.begin(), Choices.end(),
-            [](const Choice &A, const Choice &B) { return A.Score < B.Score; });
-  AdviceRequest Asked;
   Asked.Step = Key;
-  double Expected = 0;
-  for (const Choice &Next : Choices) {
-    if (Expected >= Wanted * CandidateReserve ||
-        Asked.Candidates.size() >= MaxCandidates)
-      break;
-    Asked.Candidates.push_back(Next.Id);
-    Expected += Next.Chance *
-                static_cast<double>(std::min<int64_t>(Next.TaskCount, Wanted));
-  }
-  Asked.Expected =
-      Policy.AdviceBase + Duration(static_cast<int64_t>(
-                              Policy.AdvicePerEndpointMs *
-                              static_cast<double>(Asked.Candidates.size())));
+  Asked.Expected = adviceTime(Need, Asked.Candidates.size());
   Asked.Deadline = Job.Objective;
   Asked.IsOverRate = Job.IsOverRate;
   Advice.IsInFlight = true;
   Log.count("advice_asked");
   std::vector<EndpointId> Named = Asked.Candidates;
   Dispatcher.ask(std::move(Asked),
-                 guarded([this, Key, Named, Queue = Job.Spec.Queue,
-                          Now](const cell::Advice &Result) {
-                   onAdvice(Key, Named, Queue, Now, Result);
+                 guarded([this, Key, Named, Now](const cell::Advice &Result) {
+                   onAdvice(Key, Named, Now, Result);
                  }));
 }
 
-void Owner::onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
-                     const std::string &Queue, TimePoint Sent,
+bool Owner::isUsable(const std::vector<EndpointId> &Asked,
                      const cell::Advice &Result) {
+  if (Result.Validity <= TicketMargin)
+    return false;
+  std::unordered_set<EndpointId> Named(Asked.begin(), Asked.end());
+  return std::all_of(Result.Tickets.begin(), Result.Tickets.end(),
+                     [&](const auto &Row) { return Named.erase(Row.first); });
+}
+
+void Owner::onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
+                     TimePoint Sent, const cell::Advice &Result) {
   auto Found = StepAdvices.find(Key);
   TimePoint Now = Clock.now();
+  bool IsAnswered = Result.Outcome == AdviceOutcome::Answered;
+  bool IsMalformed = IsAnswered && !isUsable(Asked, Result);
   Log.event(EventName::AdviceAnswered,
             {{"job", Key.Job.str()},
              {"step",
               std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step)},
              {"asked", std::to_string(Asked.size())},
              {"allowed", std::to_string(Result.Tickets.size())},
-             {"answered",
-              Result.Outcome == AdviceOutcome::Answered ? "true" : "false"},
+             {"answered", IsAnswered ? "true" : "false"},
+             {"malformed", IsMalformed ? "true" : "false"},
+             {"validity_ms", std::to_string(Result.Validity.count())},
              {"after_ms", std::to_string((Now - Sent).count())}});
-  if (Found == StepAdvices.end())
+  if (IsMalformed)
+    Log.count("advice_malformed");
+  const JobProgress *Job = jobOf(Key.Job);
+  if (Found == StepAdvices.end() || Job == nullptr)
     return;
   StepAdvice &Advice = Found->second;
   Advice.IsInFlight = false;
-  if (Result.Outcome != AdviceOutcome::Answered) {
+  if (!IsAnswered || IsMalformed) {
     Advice.NotBefore = Now + UnansweredPause;
     return requestSchedulingPass();
   }
-  // The service decides near the end of a call, so the validity starts now.
-  for (const auto &[Id, Text] : Result.Tickets)
-    Advice.Allowed[Id] = {Text, Now + Result.Validity - TicketMargin};
-  for (const EndpointId &Id : Asked)
-    if (Advice.Allowed.count(Id) == 0)
-      Advice.Refused.insert(Id);
-  double Share = static_cast<double>(Result.Tickets.size()) /
-                 static_cast<double>(Asked.size());
-  auto Learned = AllowedShare.emplace(Queue, InitialShare).first;
-  Learned->second = std::max(MinShare, Learned->second * (1 - ShareWeight) +
-                                           Share * ShareWeight);
+  recordAdvice(*Job, Advice, Asked, Result);
   requestSchedulingPass();
 }
 
+void Owner::recordAdvice(const JobProgress &Job, StepAdvice &Advice,
+                         const std::vector<EndpointId> &Asked,
+                         const cell::Advice &Result) {
+  // The service decides near the end of a call, so the validity starts now. An
+  // answer that states a longer validity than the queue's is not relied on.
+  Duration Validity = Result.Validity;
+  Duration Configured = policyOf(Job).TicketValidity;
+  if (Configured.count() > 0)
+    Validity = std::min(Validity, Configured);
+  TimePoint ValidUntil = Clock.now() + Validity - TicketMargin;
+  std::unordered_map<EndpointId, std::string> Tickets(Result.Tickets.begin(),
+                                                      Result.Tickets.end());
+  AllowedCount &Count = AllowedCounts[Job.Spec.Queue];
+  for (const EndpointId &Id : Asked) {
+    auto Ticket = Tickets.find(Id);
+    auto Endpoint = Table.find(Id);
+    int64_t IncarnationMs =
+        Endpoint == Table.end() ? 0 : Endpoint->second.IncarnationMs;
+    EndpointAdvice &Known = Advice.Endpoints[Id];
+    // A renewal is always granted, so it is no sample of the allowed share.
+    if (!Known.IsAllowed) {
+      Count.Asked += 1;
+      Count.Allowed += Ticket != Tickets.end() ? 1 : 0;
+    }
+    Known.IncarnationMs = IncarnationMs;
+    Known.IsAllowed = Ticket != Tickets.end();
+    Known.Ticket = Known.IsAllowed ? Ticket->second : "";
+    Known.ValidUntil = Known.IsAllowed ? ValidUntil : TimePoint();
+  }
+  if (Count.Asked > ShareWindow)
+    Count = {Count.Asked / 2, Count.Allowed / 2};
+}
+
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -214,8 +214,7 @@
     for (auto &[Key, Endpoint] : Places)
       freeResources(Job, Key, Endpoint->Info.Id);
     if (Advice != nullptr)
-      askAdvice(Job, Next.Key, *Advice,
-                Step.Tasks - static_cast<int32_t>(Places.size()));
+      askAdvice(Job, Next.Key, *Advice, Step.Tasks);
     return;
   }
   for (auto &[Key, Endpoint] : Places) {
@@ -263,9 +262,12 @@
     return Best;
   }
   TimePoint Now = Clock.now();
-  for (const auto &[Id, Ticket] : Advice->Allowed) {
+  for (const auto &[Id, Known] : Advice->Endpoints) {
+    if (!Known.IsAllowed || Known.ValidUntil <= Now)
+      continue;
     auto Found = Table.find(Id);
-    if (Found != Table.end() && Ticket.ValidUntil > Now)
+    if (Found != Table.end() &&
+        Found->second.IncarnationMs == Known.IncarnationMs)
       Consider(Found->second);
   }
   return Best;
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -96,11 +96,8 @@
   Request.Checkpoint = Task.Checkpoint;
   if (policyOf(Job).NeedsAdvice) {
     auto Advice = StepAdvices.find({Key.Job, Key.Occurrence, Key.Step});
-    if (Advice != StepAdvices.end()) {
-      auto Found = Advice->second.Allowed.find(Task.AssignedTo);
-      if (Found != Advice->second.Allowed.end())
-        Request.Ticket = Found->second.Text;
-    }
+    if (Advice != StepAdvices.end())
+      Request.Ticket = Advice->second.Endpoints[Task.AssignedTo].Ticket;
   }
   Task.IsStartSent = true;
   Task.StartToken = Request.FencingToken;
@@ -152,7 +149,7 @@
   if (Result.Outcome == EndpointOutcome::TicketRefused) {
     auto Advice = StepAdvices.find({Key.Job, Key.Occurrence, Key.Step});
     if (Advice != StepAdvices.end())
-      Advice->second.Allowed.erase(AssignedTo);
+      Advice->second.Endpoints.erase(AssignedTo);
   }
   bool IsEndpointFault = Result.Outcome == EndpointOutcome::Unavailable ||
                          Result.Outcome == EndpointOutcome::WrongIncarnation ||
--- a/src/teaselwalk/cell/testing/fake_cluster.hpp
+++ b/src/teaselwalk/cell/testing/fake_cluster.hpp
@@ -68,6 +68,8 @@
   Duration MaxLease{6000};
   /// Called with one line for each start, end and acknowledgement of a run.
   std::function<void(const std::string &)> Trace;
+  /// Whether a start request carries a valid ticket; unset: none is needed.
+  std::function<bool(const StartRequest &, const EndpointId &)> AcceptsTicket;
   int Starts = 0;
   std::map<TaskKey, int> StartsOf;
 
@@ -108,6 +110,8 @@
     auto Known = M.HighestEnded.find(Request.Task);
     if (Known != M.HighestEnded.end() && Request.Attempt <= Known->second)
       return {EndpointOutcome::Superseded, Result.ClockMs};
+    if (AcceptsTicket && !AcceptsTicket(Request, M.Info.Id))
+      return {EndpointOutcome::TicketRefused, Result.ClockMs};
     begin(M, Request, IsUnfenced);
     return Result;
   }
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fake_advisory_service.hpp"
 #include "fake_endpoints.hpp"
 #include "simulated_store.hpp"
 
@@ -17,32 +18,6 @@
 constexpr const char *ConfigKey = "orders/config";
 constexpr const char *EvacuationPrefix = "orders/out/";
 
-/// Allows every endpoint that is not in `Forbidden`.
-class FakeAdvisor : public Advisor {
-public:
-  FakeAdvisor(FakeClock &Network, Executor &Own) : Network(Network), Own(Own) {}
-
-  int Requests = 0;
-  std::set<EndpointId> Forbidden;
-
-  void ask(const protocol::Address &, const StepKey &,
-           const std::vector<EndpointId> &Candidates, Duration,
-           std::function<void(Advice)> Done) override {
-    ++Requests;
-    Advice Answer{AdviceOutcome::Answered, {}, Duration(2500)};
-    for (const EndpointId &Id : Candidates)
-      if (Forbidden.count(Id) == 0)
-        Answer.Tickets.emplace_back(Id, "ticket");
-    Network.after(Duration(20), [this, Done, Answer] {
-      Own.after(Duration(1), [Done, Answer] { Done(Answer); });
-    });
-  }
-
-private:
-  FakeClock &Network;
-  Executor &Own;
-};
-
 class FakeWorld;
 struct FakeProcess;
 
@@ -91,6 +66,7 @@
   FakeClock Clock;
   SimulatedStore Store{Clock};
   FakeCluster Cluster{Clock};
+  FakeAdvisoryService Advisory{Clock};
   std::vector<std::unique_ptr<FakeProcess>> Processes;
   Configuration Config;
   /// CPU cores of the processes by index; 1 where there is no entry.
@@ -125,6 +101,23 @@
     }
   }
 
+  /// Makes the tasks of all queues need tickets of the advisory service.
+  void requireAdvice() {
+    for (Queue &Each : Config.Queues) {
+      Each.Policy.NeedsAdvice = true;
+      Each.Policy.AdviceBase = Advisory.Base;
+      Each.Policy.AdvicePerEndpointMs = Advisory.PerEndpointMs;
+      Each.Policy.TicketValidity = Advisory.Validity;
+    }
+    Config.index();
+    Cluster.AcceptsTicket = [this](const StartRequest &Request,
+                                   const EndpointId &Id) {
+      const TaskKey &Task = Request.Task;
+      return Advisory.accepts(Request.Ticket,
+                              {Task.Job, Task.Occurrence, Task.Step}, Id);
+    };
+  }
+
   /// Adds an endpoint to the discovery list, or updates its entry.
   void listEndpoint(const EndpointId &Id) {
     std::string State =
@@ -303,7 +296,7 @@
 inline FakeProcess::FakeProcess(FakeWorld &World, int Number)
     : Clock(World.Clock), Store(World.Clock, Clock, World.Store),
       Endpoints(World.Clock, Clock, World.Cluster),
-      AdvisoryService(World.Clock, Clock), Peers(World, Clock) {
+      AdvisoryService(World.Advisory, Clock), Peers(World, Clock) {
   SchedulerCoreOptions Options;
   Options.VmName = "p" + std::to_string(Number);
   Options.ProcessId = Options.VmName + "#" + std::to_string(Number);
