cell: a job is started once an endpoint has started one of its tasks

Ruled out: a stale answer, as the process that answered owned the jobs. Change: the flag is set by an accepted start, a listed run or an end, and is part of the stored record; the status without an owner still says running if a start may have been sent. Result: JobsWithoutAStartedTaskArePending fails on the former code.

--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -69,7 +69,7 @@
   /// Status that the store holds; callers are told this one.
   JobPhase StoredStatus = JobPhase::Queued;
   int64_t EndedMs = 0;    ///< Wall clock; 0: has not ended.
-  bool IsStarted = false; ///< A task was assigned at least once.
+  bool IsStarted = false; ///< An endpoint has started a task of the job.
   int64_t Version = 0;    ///< Rises with each change that must be stored.
   int64_t StoredVersion = 0;
   /// Version of the stored record under the key of the job, outside of
@@ -90,6 +90,9 @@
   /// True if all tasks of the steps in `After` of \p Step are done.
   bool isReady(const OccurrenceProgress &Occurrence, size_t Step) const;
   bool allDone() const;
+  /// True if a start request may have been sent. Unlike `IsStarted`, the stored
+  /// record always shows it.
+  bool mayHaveStarted() const;
 
   void assign(StepProgress &Step, TaskProgress &Task,
               const EndpointId &AssignedTo, int64_t Attempt);
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -78,6 +78,15 @@
   return true;
 }
 
+bool JobProgress::mayHaveStarted() const {
+  bool HasAssignment = false;
+  for (const OccurrenceProgress &Occurrence : Occurrences)
+    for (const StepProgress &Step : Occurrence.Steps)
+      for (const TaskProgress &Task : Step.Tasks)
+        HasAssignment |= Task.Attempt > 0;
+  return IsStarted || HasAssignment;
+}
+
 bool JobProgress::allDone() const {
   for (const OccurrenceProgress &Occurrence : Occurrences)
     if (static_cast<size_t>(Occurrence.StepsDone) < Spec.Steps.size())
@@ -88,7 +97,6 @@
 void JobProgress::assign(StepProgress &Step, TaskProgress &Task,
                          const EndpointId &AssignedTo, int64_t Attempt) {
   --Step.Waiting;
-  IsStarted = true;
   Task.Phase = TaskPhase::Assigned;
   Task.IsStartSent = false;
   Task.IsStopping = false;
@@ -135,6 +143,8 @@
     Rows.push_back(std::move(Steps));
   }
   Json Document = {{"status", static_cast<int>(Status)}, {"version", Version}};
+  if (IsStarted)
+    Document["started"] = true;
   if (EndedMs != 0)
     Document["ended"] = EndedMs;
   // An ended job needs its tasks too: a later owner stops those that still run.
@@ -148,6 +158,7 @@
     Status = static_cast<JobPhase>(Document.at("status").get<int>());
     StoredStatus = Status;
     EndedMs = Document.value("ended", int64_t(0));
+    IsStarted = Document.value("started", false);
     Version = Document.at("version");
     StoredVersion = Version;
     const Json &Rows = Document.at("tasks");
@@ -176,7 +187,7 @@
     for (const TaskProgress &Task : Step.Tasks) {
       Step.Done += Task.Phase == TaskPhase::Done ? 1 : 0;
       Step.Waiting += Task.Phase == TaskPhase::Waiting ? 1 : 0;
-      IsStarted |= Task.Attempt > 0 || Task.Phase == TaskPhase::Done;
+      IsStarted |= Task.Phase == TaskPhase::Done;
     }
     if (static_cast<size_t>(Step.Done) == Step.Tasks.size())
       ++Occurrence.StepsDone;
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -171,6 +171,7 @@
              {"number", std::to_string(End.Number)}});
   if (Task == nullptr)
     return;
+  Job->IsStarted = true;
   bool IsCurrent = Task->Attempt == End.Attempt &&
                    Task->AssignedTo == Endpoint.Info.Id &&
                    Task->Phase != TaskPhase::Waiting;
@@ -213,6 +214,7 @@
     Listed.insert(Run.Task);
     if (Task->Phase == TaskPhase::Assigned)
       Task->Phase = TaskPhase::Running;
+    Job->IsStarted = true;
     if (Task->StartConfirmedAt == TimePoint())
       Task->StartConfirmedAt = Now;
     Task->ProgressPercent = Run.ProgressPercent;
--- a/src/teaselwalk/cell/owner_test.cpp
+++ b/src/teaselwalk/cell/owner_test.cpp
@@ -253,6 +253,53 @@
   expectState(Gang, JobPhase::Completed);
 }
 
+// Guards against a job that counts as started because it was assigned to an
+// endpoint, although the endpoint refused the start (MIXED on trouble-3 of the
+// grown Granite Reach site: 5 jobs were said to wait when 22 did).
+TEST_F(OwnerTest, JobsWithoutAStartedTaskArePending) {
+  World.requireAdvice();
+  World.Cluster.AcceptsTicket = [](const StartRequest &, const EndpointId &) {
+    return false;
+  };
+  begin(2, 2);
+  JobSpec Job = World.job(1, {World.step(2)});
+  submit(Job);
+  World.Clock.runFor(Duration(500));
+  ASSERT_GT(World.Processes[World.ownerIndex()]->Log.Counts["starts"], 0);
+  EXPECT_EQ(
+      World.Processes[World.ownerIndex()]->Core->localPending("batch").Count,
+      1);
+  size_t First = World.ownerIndex();
+  World.kill(First);
+  World.Clock.runFor(Duration(4000));
+  EXPECT_EQ(
+      World.Processes[World.ownerIndex()]->Core->localPending("batch").Count,
+      1);
+  World.Cluster.AcceptsTicket = nullptr;
+  World.Clock.runFor(Duration(700));
+  EXPECT_EQ(
+      World.Processes[World.ownerIndex()]->Core->localPending("batch").Count,
+      0);
+}
+
+// Guards against a job that is pending again after a takeover although a task
+// of it has run and failed.
+TEST_F(OwnerTest, AFailedRunStaysAStartAfterATakeover) {
+  begin(2, 2);
+  JobSpec Job = World.job(1, {World.step(1)});
+  World.Cluster.Work[taskOf(Job, 0, 0)].FailFirst = 1;
+  submit(Job);
+  World.Clock.runFor(Duration(1050));
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    Machine.Info.Draining = true, World.listEndpoint(Id);
+  World.Clock.runFor(Duration(1000));
+  World.kill(World.ownerIndex());
+  World.Clock.runFor(Duration(4000));
+  EXPECT_EQ(
+      World.Processes[World.ownerIndex()]->Core->localPending("batch").Count,
+      0);
+}
+
 // Guards against a burst of one team that delays the jobs of all others.
 TEST_F(OwnerTest, WorkBeyondATeamsRateWaitsForOthers) {
   World.Config.Teams.front().Weight = 2;
--- a/src/teaselwalk/cell/request_handler.cpp
+++ b/src/teaselwalk/cell/request_handler.cpp
@@ -264,8 +264,8 @@
                   Progress.restore(State.Items.front().Value);
                 Answer.State = Progress.Status;
                 if (!Progress.isEnded())
-                  Answer.State =
-                      Progress.IsStarted ? JobPhase::Running : JobPhase::Queued;
+                  Answer.State = Progress.mayHaveStarted() ? JobPhase::Running
+                                                           : JobPhase::Queued;
               } catch (const Error &Failure) {
                 Log.event(
                     EventName::RecordMalformed,
