cell: open requests for advice claim the room that they ask about

A request that waited for a route named endpoints as they were when it was handed in. Change: RoomClaims subtracts what open requests will probably use from the room of the endpoints that others name; the endpoints are chosen when the request is sent, and a request that its step no longer needs is dropped.

--- a/include/teaselwalk/cell/advice_dispatcher.hpp
+++ b/include/teaselwalk/cell/advice_dispatcher.hpp
@@ -12,10 +12,14 @@
 /// One request to the advisory service.
 struct AdviceRequest {
   StepKey Step;
-  std::vector<EndpointId> Candidates;
-  Duration Expected{0};    ///< Time that the service is expected to take.
+  /// Time that the service is expected to take.
+  Duration Expected{0};
   bool IsOverRate = false; ///< Sent after all requests that are not over rate.
   TimePoint Deadline;      ///< Earlier deadlines are sent first.
+  /// Returns the endpoints to ask about. Called when the request is sent, which
+  /// may be long after it was handed in. If there are none, the request is
+  /// dropped.
+  std::function<std::vector<EndpointId>()> Candidates;
 };
 
 /// Sends requests to the advisory service through all processes of the system.
@@ -24,7 +28,8 @@
 /// for short requests, so that these never wait behind long ones.
 class AdviceDispatcher {
 public:
-  using Callback = std::function<void(Advice)>;
+  using Callback =
+      std::function<void(const std::vector<EndpointId> &Asked, const Advice &)>;
 
   AdviceDispatcher(Executor &Clock, Advisor &AdvisoryService, Recorder &Log)
       : Clock(Clock), AdvisoryService(AdvisoryService), Log(Log) {}
@@ -33,8 +38,9 @@
   /// Routes with an address that was there before keep their state.
   void setRoutes(const std::vector<protocol::Address> &Addresses);
 
-  /// \p Done is called once with the answer. A request without an answer is
-  /// sent again a few times first.
+  /// \p Done is called once with the answer and the endpoints that the request
+  /// named; with outcome `Dropped` if it was not sent. A request without an
+  /// answer is sent again a few times first.
   void ask(AdviceRequest Asked, Callback Done);
 
   /// Number of requests that wait for a route.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -8,6 +8,7 @@
 #include "teaselwalk/cell/job_progress.hpp"
 #include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
+#include "teaselwalk/cell/room_claims.hpp"
 #include "teaselwalk/cell/store_mirror.hpp"
 #include "teaselwalk/cell/team_rates.hpp"
 
@@ -237,9 +238,13 @@
 
   // owner_advice.cpp
   StepAdvice *adviceFor(const JobProgress &Job, const StepKey &Key);
-  /// Asks for tickets for \p Wanted tasks of a step.
-  void askAdvice(const JobProgress &Job, const StepKey &Key, StepAdvice &Advice,
-                 int32_t Wanted);
+  /// Asks for tickets for the waiting tasks of a step.
+  void askAdvice(const JobProgress &Job, const StepKey &Key,
+                 StepAdvice &Advice);
+  AdviceNeed adviceNeed(const JobProgress &Job, const StepKey &Key) const;
+  /// Chooses the endpoints that a request about \p Key names and claims room
+  /// there. Returns none if the step needs no tickets any more.
+  std::vector<EndpointId> claimCandidates(const StepKey &Key);
   std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
                                                 const StepKey &Key,
                                                 const StepAdvice &Advice) const;
@@ -296,6 +301,7 @@
   std::unordered_map<std::string, Resources> TeamUsage;
   TeamRates Rates;
   std::map<StepKey, StepAdvice> StepAdvices;
+  RoomClaims Claims; ///< Of the steps whose requests for advice are open.
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
   std::unordered_map<std::string, double> RunTimeRatio;
--- a/include/teaselwalk/cell/ports.hpp
+++ b/include/teaselwalk/cell/ports.hpp
@@ -272,8 +272,9 @@
 
 enum class AdviceOutcome {
   Answered,
-  Busy,   ///< The service refused the request for the time being.
-  Unknown ///< There was no answer, or none that could be read.
+  Busy,    ///< The service refused the request for the time being.
+  Unknown, ///< There was no answer, or none that could be read.
+  Dropped  ///< The request was not sent: there was nothing left to ask about.
 };
 
 struct Advice {
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -99,25 +99,33 @@
 }
 
 void AdviceDispatcher::send(const std::shared_ptr<Route> &Free, Entry Next) {
+  std::vector<EndpointId> Asked = Next.Asked.Candidates();
+  if (Asked.empty()) {
+    Clock.after(Duration(0), [Done = std::move(Next.Done)] {
+      Done({}, {AdviceOutcome::Dropped, {}, {}});
+    });
+    return;
+  }
   Free->IsBusy = true;
   Log.time("advice_wait", Clock.now() - Next.QueuedAt);
   auto Sent = std::make_shared<Entry>(std::move(Next));
-  AdvisoryService.ask(Free->Through, Sent->Asked.Step, Sent->Asked.Candidates,
-                      Sent->Asked.Expected * 2 + AnswerSlack,
-                      [this, Free, Sent, SentAt = Clock.now(),
-                       Token = std::weak_ptr<char>(Alive)](Advice Result) {
-                        if (Token.expired())
-                          return;
-                        Free->IsBusy = false;
-                        noteOutcome(*Free, Result.Outcome);
-                        Log.time("advice_call", Clock.now() - SentAt);
-                        if (Result.Outcome == AdviceOutcome::Unknown &&
-                            ++Sent->UnansweredCalls <= MaxUnansweredCalls)
-                          Waiting.push_front(std::move(*Sent));
-                        else
-                          Sent->Done(std::move(Result));
-                        dispatch();
-                      });
+  AdvisoryService.ask(
+      Free->Through, Sent->Asked.Step, Asked,
+      Sent->Asked.Expected * 2 + AnswerSlack,
+      [this, Free, Sent, Asked, SentAt = Clock.now(),
+       Token = std::weak_ptr<char>(Alive)](const Advice &Result) {
+        if (Token.expired())
+          return;
+        Free->IsBusy = false;
+        noteOutcome(*Free, Result.Outcome);
+        Log.time("advice_call", Clock.now() - SentAt);
+        if (Result.Outcome == AdviceOutcome::Unknown &&
+            ++Sent->UnansweredCalls <= MaxUnansweredCalls)
+          Waiting.push_front(std::move(*Sent));
+        else
+          Sent->Done(Asked, Result);
+        dispatch();
+      });
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/advice_dispatcher_test.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher_test.cpp
@@ -12,13 +12,15 @@
 class ManualAdvisor : public Advisor {
 public:
   void ask(const protocol::Address &Through, const StepKey &Step,
-           const std::vector<EndpointId> &, Duration,
+           const std::vector<EndpointId> &Candidates, Duration,
            std::function<void(Advice)> Done) override {
-    Asked.push_back({Through.Port, Step.Job.str(), std::move(Done)});
+    Asked.push_back(
+        {Through.Port, Step.Job.str(), Candidates, std::move(Done)});
   }
   struct Row {
     uint16_t Port;
     std::string Job;
+    std::vector<EndpointId> Candidates;
     std::function<void(Advice)> Done;
   };
   std::vector<Row> Asked;
@@ -31,15 +33,18 @@
     Next.Step = {JobId(Job), 0, 0};
     Next.Expected = Duration(ExpectedMs);
     Next.Deadline = timeAt(Deadline);
-    Dispatcher.ask(std::move(Next), [this](const Advice &Answer) {
-      Outcomes.push_back(Answer.Outcome);
-    });
+    Next.Candidates = [this] { return Candidates; };
+    Dispatcher.ask(std::move(Next),
+                   [this](const std::vector<EndpointId> &, const Advice &A) {
+                     Outcomes.push_back(A.Outcome);
+                   });
   }
 
   FakeClock Clock;
   ManualAdvisor AdvisoryService;
   FakeRecorder Log;
   AdviceDispatcher Dispatcher{Clock, AdvisoryService, Log};
+  std::vector<EndpointId> Candidates{EndpointId("e1")};
   std::vector<AdviceOutcome> Outcomes;
 };
 
@@ -81,6 +86,26 @@
   EXPECT_EQ(Outcomes, std::vector<AdviceOutcome>{AdviceOutcome::Answered});
 }
 
+// Guards against a request that names endpoints which have filled up while it
+// waited for a route, and against one that is sent although its step no longer
+// needs it.
+TEST_F(AdviceDispatcherTest, ChoosesTheEndpointsWhenARouteIsFree) {
+  Dispatcher.setRoutes({{}});
+  ask("a", 20, 5000);
+  ask("b", 20, 5000);
+  ask("c", 20, 6000);
+  Candidates = {EndpointId("e2"), EndpointId("e3")};
+  AdvisoryService.Asked[0].Done({AdviceOutcome::Answered, {}, {}});
+  ASSERT_EQ(AdvisoryService.Asked.size(), 2U);
+  EXPECT_EQ(AdvisoryService.Asked[1].Candidates, Candidates);
+  Candidates.clear();
+  AdvisoryService.Asked[1].Done({AdviceOutcome::Answered, {}, {}});
+  Clock.runFor(Duration(1));
+  EXPECT_EQ(AdvisoryService.Asked.size(), 2U);
+  ASSERT_EQ(Outcomes.size(), 3U);
+  EXPECT_EQ(Outcomes[2], AdviceOutcome::Dropped);
+}
+
 // Guards against requests that wait for ever because all routes pause after
 // lost requests.
 TEST_F(AdviceDispatcherTest, UsesARouteAgainAfterItsPause) {
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -29,6 +29,35 @@
   return std::max<int64_t>(TaskCount, 0);
 }
 
+/// The room that the tasks of \p Need will probably use on each endpoint in
+/// \p Named.
+RoomClaims::Rows claimsOf(const AdviceNeed &Need, const StepSpec &Step,
+                          const std::vector<AdviceCandidate> &Candidates,
+                          const std::vector<EndpointId> &Named) {
+  std::unordered_set<EndpointId> IsNamed(Named.begin(), Named.end());
+  std::vector<std::pair<EndpointId, double>> Tasks;
+  double Total = 0;
+  for (const AdviceCandidate &Next : Candidates) {
+    if (IsNamed.count(Next.Id) == 0)
+      continue;
+    double Chance = Next.IsAllowed ? 1 : Need.AllowedShare;
+    double Expected = Chance * static_cast<double>(
+                                   std::min<int64_t>(Next.Places, Need.Tasks));
+    Tasks.emplace_back(Next.Id, Expected);
+    Total += Expected;
+  }
+  double Share = Total > Need.Tasks ? Need.Tasks / Total : 1;
+  RoomClaims::Rows Result;
+  for (const auto &[Id, Expected] : Tasks) {
+    Resources Room;
+    for (int64_t Resources::*Field : ResourceFields)
+      Room.*Field = static_cast<int64_t>(static_cast<double>(Step.Need.*Field) *
+                                         Expected * Share);
+    Result.emplace_back(Id, Room);
+  }
+  return Result;
+}
+
 } // namespace
 
 Owner::StepAdvice *Owner::adviceFor(const JobProgress &Job,
@@ -51,7 +80,7 @@
       continue;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       continue;
-    Resources Room = Endpoint.freeCapacity();
+    Resources Room = Endpoint.freeCapacity() - Claims.claimed(Id);
     if (Step.Opportunistic)
       Room.MilliCpu -= Endpoint.OpportunisticCpu;
     int64_t Places = tasksThatFit(Step.Need, Room);
@@ -75,38 +104,65 @@
   return std::max(MinShare, Count.Allowed / Count.Asked);
 }
 
-void Owner::askAdvice(const JobProgress &Job, const StepKey &Key,
-                      StepAdvice &Advice, int32_t Wanted) {
-  TimePoint Now = Clock.now();
-  if (Advice.IsInFlight || Advice.NotBefore > Now)
-    return;
+AdviceNeed Owner::adviceNeed(const JobProgress &Job, const StepKey &Key) const {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  const StepProgress &State =
+      Job.Occurrences[static_cast<size_t>(Key.Occurrence)]
+          .Steps[static_cast<size_t>(Key.Step)];
   const QueuePolicy &Policy = policyOf(Job);
   AdviceNeed Need;
-  Need.Tasks = Wanted;
+  Need.Tasks = State.Waiting;
   Need.StartsTogether = Step.Gang;
   Need.AllowedShare = allowedShare(Job.Spec.Queue);
   Need.Base = Policy.AdviceBase;
   Need.PerEndpointMs = Policy.AdvicePerEndpointMs;
-  AdviceRequest Asked;
-  Asked.Candidates = planAdvice(Need, adviceCandidates(Job, Key, Advice));
-  if (Asked.Candidates.empty()) {
+  return Need;
+}
+
+void Owner::askAdvice(const JobProgress &Job, const StepKey &Key,
+                      StepAdvice &Advice) {
+  TimePoint Now = Clock.now();
+  if (Advice.IsInFlight || Advice.NotBefore > Now)
+    return;
+  AdviceNeed Need = adviceNeed(Job, Key);
+  std::vector<EndpointId> Named =
+      planAdvice(Need, adviceCandidates(Job, Key, Advice));
+  if (Named.empty()) {
     Advice.NotBefore = Now + NoCandidatePause;
     return;
   }
+  AdviceRequest Asked;
   Asked.Step = Key;
-  Asked.Expected = adviceTime(Need, Asked.Candidates.size());
+  Asked.Expected = adviceTime(Need, Named.size());
   Asked.Deadline = Job.Objective;
   Asked.IsOverRate = Job.IsOverRate;
+  Asked.Candidates = [this, Key] { return claimCandidates(Key); };
   Advice.IsInFlight = true;
   Log.count("advice_asked");
-  std::vector<EndpointId> Named = Asked.Candidates;
   Dispatcher.ask(std::move(Asked),
-                 guarded([this, Key, Named, Now](const cell::Advice &Result) {
+                 guarded([this, Key, Now](const std::vector<EndpointId> &Named,
+                                          const cell::Advice &Result) {
                    onAdvice(Key, Named, Now, Result);
                  }));
 }
 
+std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key) {
+  Claims.remove(Key);
+  const JobProgress *Job = jobOf(Key.Job);
+  auto Found = StepAdvices.find(Key);
+  if (Job == nullptr || Found == StepAdvices.end())
+    return {};
+  AdviceNeed Need = adviceNeed(*Job, Key);
+  if (Need.Tasks == 0)
+    return {};
+  std::vector<AdviceCandidate> Candidates =
+      adviceCandidates(*Job, Key, Found->second);
+  std::vector<EndpointId> Named = planAdvice(Need, Candidates);
+  Claims.set(Key, claimsOf(Need, Job->Spec.Steps[static_cast<size_t>(Key.Step)],
+                           Candidates, Named));
+  return Named;
+}
+
 bool Owner::isUsable(const std::vector<EndpointId> &Asked,
                      const cell::Advice &Result) {
   if (Result.Validity <= TicketMargin)
@@ -122,16 +178,18 @@
   TimePoint Now = Clock.now();
   bool IsAnswered = Result.Outcome == AdviceOutcome::Answered;
   bool IsMalformed = IsAnswered && !isUsable(Asked, Result);
-  Log.event(EventName::AdviceAnswered,
-            {{"job", Key.Job.str()},
-             {"step",
-              std::to_string(Key.Occurrence) + '.' + std::to_string(Key.Step)},
-             {"asked", std::to_string(Asked.size())},
-             {"allowed", std::to_string(Result.Tickets.size())},
-             {"answered", IsAnswered ? "true" : "false"},
-             {"malformed", IsMalformed ? "true" : "false"},
-             {"validity_ms", std::to_string(Result.Validity.count())},
-             {"after_ms", std::to_string((Now - Sent).count())}});
+  Claims.remove(Key);
+  if (Result.Outcome != AdviceOutcome::Dropped)
+    Log.event(EventName::AdviceAnswered,
+              {{"job", Key.Job.str()},
+               {"step", std::to_string(Key.Occurrence) + '.' +
+                            std::to_string(Key.Step)},
+               {"asked", std::to_string(Asked.size())},
+               {"allowed", std::to_string(Result.Tickets.size())},
+               {"answered", IsAnswered ? "true" : "false"},
+               {"malformed", IsMalformed ? "true" : "false"},
+               {"validity_ms", std::to_string(Result.Validity.count())},
+               {"after_ms", std::to_string((Now - Sent).count())}});
   if (IsMalformed)
     Log.count("advice_malformed");
   const JobProgress *Job = jobOf(Key.Job);
@@ -139,6 +197,10 @@
     return;
   StepAdvice &Advice = Found->second;
   Advice.IsInFlight = false;
+  if (Result.Outcome == AdviceOutcome::Dropped) {
+    Advice.NotBefore = Now + NoCandidatePause;
+    return;
+  }
   if (!IsAnswered || IsMalformed) {
     Advice.NotBefore = Now + UnansweredPause;
     return requestSchedulingPass();
--- a/src/teaselwalk/cell/owner_advice_test.cpp
+++ b/src/teaselwalk/cell/owner_advice_test.cpp
@@ -108,6 +108,29 @@
   EXPECT_GE(World.Advisory.Requests[Before], 16U);
 }
 
+// Guards against requests that are made at the same time and all name the same
+// endpoints, so that only the first step finds room there and the others ask
+// again. Load: 100 short jobs a second (3 tasks of 2.3 processors, 1 s, 70% of
+// the endpoints allowed) on endpoints of 16 processors.
+TEST_F(OwnerAdviceTest, ConcurrentRequestsNameDifferentPlaces) {
+  World.Advisory.Base = Duration(40);
+  World.Advisory.PerEndpointMs = 0.16;
+  World.Advisory.Validity = Duration(1500);
+  World.Advisory.Allows = [](const StepKey &Step, const EndpointId &Id) {
+    return isChosen(Id, std::stoull(Step.Job.str(), nullptr, 16), 0.7);
+  };
+  begin(20, 60, {16000, 65536, 0, 0, 0});
+  constexpr int JobCount = 200;
+  for (int I = 1; I <= JobCount; ++I) {
+    World.send(0, CallerAction::Submit, World.job(I, {World.step(3, 2300)}));
+    World.Clock.runFor(Duration(10));
+  }
+  World.Clock.runFor(Duration(300));
+  EXPECT_EQ(World.Cluster.Starts, JobCount * 3);
+  EXPECT_LT(World.Advisory.Requests.size(), JobCount * 5 / 4U);
+  EXPECT_EQ(World.violations(), "");
+}
+
 // Guards against a process that ends, or a step that waits for ever, because of
 // an answer without use: no ticket, unknown endpoints, a ticket twice, tickets
 // that have expired.
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -142,7 +142,7 @@
   TimePoint Now = Clock.now();
   std::string Places;
   int32_t Placed = 0;
-  int32_t Missing = 0;
+  bool IsShort = false;
   for (size_t T = 0; T < State.Tasks.size() && State.Waiting > 0; ++T) {
     TaskProgress &Task = State.Tasks[T];
     if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
@@ -151,7 +151,7 @@
       break;
     TrackedEndpoint *Endpoint = chooseEndpoint(Job, Step, Next.Key, Advice);
     if (Endpoint == nullptr) {
-      Missing = State.Waiting;
+      IsShort = true;
       break;
     }
     TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step,
@@ -175,8 +175,8 @@
                {"config", std::to_string(Hooks.Desired->Config.Version)},
                {"places", Places}});
   }
-  if (Missing > 0 && Advice != nullptr)
-    askAdvice(Job, Next.Key, *Advice, Missing);
+  if (IsShort && Advice != nullptr)
+    askAdvice(Job, Next.Key, *Advice);
 }
 
 void Owner::placeGang(const BacklogStep &Next, StepProgress &State,
@@ -214,7 +214,7 @@
     for (auto &[Key, Endpoint] : Places)
       freeResources(Job, Key, Endpoint->Info.Id);
     if (Advice != nullptr)
-      askAdvice(Job, Next.Key, *Advice, Step.Tasks);
+      askAdvice(Job, Next.Key, *Advice);
     return;
   }
   for (auto &[Key, Endpoint] : Places) {
