engine: results that are reported before the jobs are read count

If all endpoints had answered before the jobs were read, the results of still unknown jobs were dropped, and as all endpoints were known, the tasks that none of them ran were started again. Ruled out: the lease of the killed owner (the tasks had ended 9 s before) and a lost report (each endpoint sent it and kept it for a second report). Change: such results are kept and applied when the jobs have been read. Result: EndsReportedBeforeTheJobsAreReadCount, nine times of death in virtual time, fails on the former code and passes now.

--- a/include/teaselwalk/engine/shard_controller.hpp
+++ b/include/teaselwalk/engine/shard_controller.hpp
@@ -103,6 +103,15 @@
     Preempted,    ///< Stopped or checkpointed by this process.
   };
 
+  /// The result of a task whose job has not been read from the store yet.
+  struct EarlyResult {
+    protocol::AttemptId Id;
+    JobTaskRef TaskRef;
+    EndpointId Endpoint;
+    bool Ok = false;
+    std::string Text;
+  };
+
   /// What an attach or renewal told the endpoint about its tasks.
   struct SentRenewal {
     TimePoint At;
@@ -202,6 +211,8 @@
                            bool AllEndpointsKnown, TimePoint Now);
   std::optional<Job> readJob(const protocol::StoreEntry &Entry);
   void applyCompletions(const protocol::StoreReply &CompletionList);
+  /// Ends the tasks in `EarlyResults`.
+  void applyEarlyResults(TimePoint Now);
   void resumeJob(Job &Value, bool AllEndpointsKnown, TimePoint Now);
   void stopOrphans();
   schedule::WorkSpec workSpec(const Job &Value) const;
@@ -255,6 +266,8 @@
   bool HadAuthority = false;
   bool Taking = false;        ///< Unused.
   bool HasLoadedJobs = false; ///< The shard's jobs were read from the store.
+  /// Results that endpoints reported before the jobs were read.
+  std::vector<EarlyResult> EarlyResults;
   /// The shard's jobs were read at a time when the tasks of every endpoint were
   /// known, so that a task found nowhere was certainly not running.
   bool HasLoadedAll = false;
--- a/src/teaselwalk/engine/engine_test.cpp
+++ b/src/teaselwalk/engine/engine_test.cpp
@@ -10,6 +10,7 @@
 using protocol::JobState;
 using protocol::Refusal;
 using world::World;
+using world::WorldOptions;
 
 protocol::JobSpec makeSpec(JobKind Kind, uint32_t Tasks, int64_t RunMs) {
   protocol::JobSpec Spec;
@@ -268,6 +269,30 @@
     EXPECT_EQ(Row.second.size(), 1U) << Row.first;
 }
 
+// Guards against tasks that run twice because they ended while their shard had
+// no owner, and the endpoints reported that to the new owner before it had read
+// the jobs from the store.
+TEST(EngineTest, EndsReportedBeforeTheJobsAreReadCount) {
+  for (int64_t KillAfter = 600; KillAfter <= 2200; KillAfter += 200) {
+    WorldOptions Options;
+    Options.Seed = static_cast<uint64_t>(KillAfter);
+    World W(Options);
+    ASSERT_TRUE(W.settle());
+    RequestToken Sent =
+        W.submit(0, makeSpec(JobKind::Batch, 40, 1200), "job-1");
+    W.runFor(Duration(KillAfter));
+    ASSERT_EQ(W.JobAnswers[Sent].Reason, Refusal::None);
+    JobId Job = W.JobAnswers[Sent].Job;
+    size_t Owner = ownerOf(W, homeShardOf(Job)->Number);
+    ASSERT_LT(Owner, W.Processes.size());
+    W.killProcess(Owner);
+    EXPECT_TRUE(jobEnds(W, 1 - Owner, Job, Duration(60000)));
+    for (const auto &Row : W.runs())
+      EXPECT_EQ(Row.second.size(), 1U)
+          << Row.first << ", killed after " << KillAfter << " ms";
+  }
+}
+
 // Guards against an owner that starts tasks after a pause in which another
 // process took over its shard.
 TEST(EngineTest, PausedOwnerDoesNotStartTasksAfterWaking) {
--- a/src/teaselwalk/engine/shard_controller.cpp
+++ b/src/teaselwalk/engine/shard_controller.cpp
@@ -132,6 +132,10 @@
   ++Generation;
   IsLoadingJobs = false;
   HasLoadedJobs = false;
+  // Endpoints report results from the first attach on, before the authority is
+  // gained.
+  if (!Gained)
+    EarlyResults.clear();
   HasLoadedAll = false;
   logEvent(Gained ? EventName::AuthorityGained : EventName::AuthorityLost,
            {{"epoch", std::to_string(Ownership.epoch().Counter)}});
@@ -193,6 +197,7 @@
     for (const auto &Row : Vms)
       All.push_back(Row.first);
     FormerOwners.clear();
+    EarlyResults.clear();
     Guard.startTakeover(All, {});
   }
   for (const OwnershipCommand &Command : Due)
--- a/src/teaselwalk/engine/shard_controller_jobs.cpp
+++ b/src/teaselwalk/engine/shard_controller_jobs.cpp
@@ -147,6 +147,8 @@
     // Once the jobs are loaded, nobody needs the result of an unknown job.
     if (HasLoadedJobs && Kind == EndKind::Finished)
       PendingAcks[Endpoint].push_back(Id);
+    else if (Kind == EndKind::Finished)
+      EarlyResults.push_back({Id, TaskRef, Endpoint, Ok, Result});
     return;
   }
   Job &Value = Found->second;
@@ -413,6 +415,7 @@
   }
   applyCompletions(CompletionList);
   HasLoadedJobs = true;
+  applyEarlyResults(Now);
   HasLoadedAll = HasLoadedAll || AllEndpointsKnown;
   for (auto &Row : Jobs) {
     // A job whose record says cancelled may still have running tasks.
@@ -459,6 +462,14 @@
   }
 }
 
+void ShardController::applyEarlyResults(TimePoint Now) {
+  std::vector<EarlyResult> Results;
+  Results.swap(EarlyResults);
+  for (const EarlyResult &Early : Results)
+    endJobTask(Early.Id, Early.TaskRef, Early.Endpoint, EndKind::Finished,
+               Early.Ok, Early.Text, Now);
+}
+
 void ShardController::stopOrphans() {
   for (const auto &Row : Vms)
     for (const TaskId &Task : ActiveTasks.tasksOn(Row.first)) {
