cell: a scheduling pass looks at usable endpoints only

Cause: each task placed looked at every endpoint, with a lookup of its queue's policy for each, and each step of the backlog without room did the same in every pass, so the time of a pass grew with backlog times endpoints; the next pass followed 15 ms later however long the last one had taken. Change: a pass finds the endpoints where tasks may start once; a task is skipped if one that needs no more of anything found no room in the same pass; the next pass waits four times the length of the latest one.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -116,6 +116,13 @@
     TimePoint Objective;
   };
 
+  /// What one scheduling pass has found out. Room only shrinks in a pass.
+  struct PassState {
+    std::unordered_map<std::string, std::vector<TrackedEndpoint *>> Usable;
+    /// Needs for which no endpoint had room, by service.
+    std::unordered_map<std::string, std::vector<Resources>> Failed;
+  };
+
   /// A job and the version of its record that was written.
   using RecordVersion = std::pair<JobId, int64_t>;
   /// The records in one write to the store.
@@ -198,8 +205,9 @@
   void releaseTask(const TaskKey &Key, const char *Why);
   void completeTask(JobProgress &Job, const TaskKey &Key, bool IsCurrent);
   void failTask(JobProgress &Job, const TaskKey &Key);
+  /// \p Service is the pool that the endpoint must belong to.
   bool mayStartOn(const TrackedEndpoint &Endpoint,
-                  const JobProgress &Job) const;
+                  const std::string &Service) const;
   void suspendEndpoint(TrackedEndpoint &Endpoint, Duration First);
 
   // owner_progress.cpp
@@ -225,6 +233,11 @@
   void placeStep(const BacklogStep &Next);
   void placeGang(const BacklogStep &Next, StepProgress &State,
                  StepAdvice *Advice);
+  /// The endpoints of \p Service on which tasks may start in this pass.
+  const std::vector<TrackedEndpoint *> &
+  usableEndpoints(const std::string &Service);
+  /// True if a task that needs no more than \p Need found no room in this pass.
+  bool hasFailedInPass(const std::string &Service, const Resources &Need) const;
   TrackedEndpoint *chooseEndpoint(const JobProgress &Job, const StepSpec &Step,
                                   const StepKey &Key, StepAdvice *Advice);
   bool fitsTeamLimit(const JobProgress &Job, const Resources &Need) const;
@@ -313,6 +326,8 @@
   std::deque<JobId> ToRemove; ///< Ended jobs with records in the store.
   bool IsLoaded = false;
   bool IsPassRequested = false;
+  PassState Pass;
+  Duration LastPassTime{0};
   TimePoint RemovedAt; ///< When records were last removed.
   Lifetime Alive;
 };
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -69,6 +69,7 @@
 Owner::adviceCandidates(const JobProgress &Job, const StepKey &Key,
                         const StepAdvice &Advice) const {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  const std::string &Service = policyOf(Job).Service;
   TimePoint Now = Clock.now();
   std::vector<AdviceCandidate> Result;
   for (const auto &[Id, Endpoint] : Table) {
@@ -76,7 +77,7 @@
     bool IsKnown = Known != Advice.Endpoints.end() &&
                    Known->second.IncarnationMs == Endpoint.IncarnationMs;
     bool IsRefused = IsKnown && !Known->second.IsAllowed;
-    if (IsRefused || !mayStartOn(Endpoint, Job))
+    if (IsRefused || !mayStartOn(Endpoint, Service))
       continue;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       continue;
--- a/src/teaselwalk/cell/owner_limits.hpp
+++ b/src/teaselwalk/cell/owner_limits.hpp
@@ -67,6 +67,10 @@
 /// changes that come together share one write.
 constexpr Duration PassDelay{15};
 
+/// The next pass waits at least this multiple of the time that the latest one
+/// took, so that passes over a long backlog leave time for renewals and ends.
+constexpr int PassTimeFactor = 4;
+
 /// Interval of the checks that no event triggers.
 constexpr Duration TickInterval{250};
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -38,9 +38,13 @@
   if (IsPassRequested || !IsLoaded)
     return;
   IsPassRequested = true;
-  Clock.after(PassDelay, guarded([this] {
+  Duration Delay = std::max(PassDelay, LastPassTime * PassTimeFactor);
+  Clock.after(Delay, guarded([this] {
                 IsPassRequested = false;
+                TimePoint Start = Clock.now();
                 runSchedulingPass();
+                LastPassTime = Clock.now() - Start;
+                Log.time("scheduling_pass", LastPassTime);
               }));
 }
 
@@ -123,8 +127,10 @@
 }
 
 void Owner::runSchedulingPass() {
+  Pass = {};
   for (const BacklogStep &Next : collectBacklog())
     placeStep(Next);
+  Pass = {};
   writeChanged();
 }
 
@@ -231,14 +237,33 @@
              {"tasks", std::to_string(Places.size())}});
 }
 
+const std::vector<TrackedEndpoint *> &
+Owner::usableEndpoints(const std::string &Service) {
+  auto [Found, IsNew] = Pass.Usable.try_emplace(Service);
+  if (IsNew)
+    for (auto &[Id, Endpoint] : Table)
+      if (mayStartOn(Endpoint, Service))
+        Found->second.push_back(&Endpoint);
+  return Found->second;
+}
+
+bool Owner::hasFailedInPass(const std::string &Service,
+                            const Resources &Need) const {
+  auto Failed = Pass.Failed.find(Service);
+  return Failed != Pass.Failed.end() &&
+         std::any_of(Failed->second.begin(), Failed->second.end(),
+                     [&](const Resources &Less) { return fits(Less, Need); });
+}
+
 TrackedEndpoint *Owner::chooseEndpoint(const JobProgress &Job,
                                        const StepSpec &Step, const StepKey &Key,
                                        StepAdvice *Advice) {
   Resources Need = reservedResources(Step);
+  const std::string &Service = policyOf(Job).Service;
   TrackedEndpoint *Best = nullptr;
   double BestScore = std::numeric_limits<double>::max();
   auto Consider = [&](TrackedEndpoint &Endpoint) {
-    if (!mayStartOn(Endpoint, Job) || !fits(Need, Endpoint.freeCapacity()))
+    if (!fits(Need, Endpoint.freeCapacity()))
       return;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       return;
@@ -256,8 +281,15 @@
     Best = &Endpoint;
   };
   if (Advice == nullptr) {
-    for (auto &[Id, Endpoint] : Table)
-      Consider(Endpoint);
+    if (hasFailedInPass(Service, Need))
+      return nullptr;
+    for (TrackedEndpoint *Endpoint : usableEndpoints(Service))
+      Consider(*Endpoint);
+    // The places of a gang may be given back, so its failure shows nothing.
+    bool IsGeneral = Step.RequiredLabel.empty() && !Step.Opportunistic &&
+                     Step.MaxPerEndpoint == 0 && !Step.Gang;
+    if (Best == nullptr && IsGeneral)
+      Pass.Failed[Service].push_back(Need);
     return Best;
   }
   TimePoint Now = Clock.now();
@@ -266,7 +298,8 @@
       continue;
     auto Found = Table.find(Id);
     if (Found != Table.end() &&
-        Found->second.IncarnationMs == Known.IncarnationMs)
+        Found->second.IncarnationMs == Known.IncarnationMs &&
+        mayStartOn(Found->second, Service))
       Consider(Found->second);
   }
   return Best;
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -15,10 +15,10 @@
 } // namespace
 
 bool Owner::mayStartOn(const TrackedEndpoint &Endpoint,
-                       const JobProgress &Job) const {
+                       const std::string &Service) const {
   TimePoint Now = Clock.now();
   return Endpoint.IsListed && !Endpoint.Info.Draining &&
-         Endpoint.Info.Service == policyOf(Job).Service &&
+         Endpoint.Info.Service == Service &&
          Endpoint.FencedToken == Endpoint.Token && Endpoint.StrayRuns.empty() &&
          Now - Endpoint.LastAnswerAt < MaxSilenceToStart &&
          Endpoint.SuspendedUntil <= Now &&
@@ -45,6 +45,7 @@
   bool HasAuthority =
       Now - Hooks.OwnershipConfirmedAt() < MaxConfirmationAgeToStart &&
       Confirmed && Now - *Confirmed < MaxDesiredStateAge;
+  const std::string &Service = policyOf(Job).Service;
   std::vector<TaskKey> Starts;
   std::vector<TaskKey> Released;
   for (size_t K = 0; K < Job.Occurrences.size(); ++K)
@@ -59,7 +60,7 @@
           continue;
         TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
                     static_cast<int32_t>(S), static_cast<int32_t>(T)};
-        bool CanStart = MayStart && mayStartOn(Table[Task.AssignedTo], Job);
+        bool CanStart = MayStart && mayStartOn(Table[Task.AssignedTo], Service);
         Unsent.push_back(Key);
         if (!CanStart)
           Released.push_back(Key);
--- a/src/teaselwalk/cell/owner_test.cpp
+++ b/src/teaselwalk/cell/owner_test.cpp
@@ -344,6 +344,33 @@
   EXPECT_EQ(World.status(0, Job).Kind, RequestOutcome::NoJob);
 }
 
+// Guards against a pass that skips a task because another task found no room:
+// only one that needs at least as much of everything may be skipped.
+TEST_F(OwnerTest, TasksWithoutRoomDoNotHoldBackSmallerOnes) {
+  World.Config.Teams.front().Weight = 100;
+  World.Config.index();
+  World.addEndpoints(2, {4000, 8000, 0, 0, 0});
+  begin(1, 0);
+  World.Cluster.DefaultWork.Length = Duration(5000);
+  submit(World.job(1, {World.step(2, 3000)}));
+  JobSpec Large = World.job(2, {World.step(3, 2000)});
+  JobSpec WideMemory = World.job(3, {World.step(1, 500)});
+  WideMemory.Steps[0].Need.MemoryMb = 7000;
+  JobSpec Small = World.job(4, {World.step(1, 500)});
+  JobSpec TooMuchMemory = World.job(5, {World.step(1, 500)});
+  TooMuchMemory.Steps[0].Need.MemoryMb = 7950;
+  submit(Large);
+  submit(WideMemory);
+  submit(TooMuchMemory);
+  submit(Small);
+  World.Clock.runFor(Duration(1000));
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(Large, 0, 0)], 0);
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(WideMemory, 0, 0)], 1);
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(TooMuchMemory, 0, 0)], 0);
+  EXPECT_EQ(World.Cluster.StartsOf[taskOf(Small, 0, 0)], 1);
+  EXPECT_EQ(World.violations(), "");
+}
+
 // Guards against a service that waits for the leases of a dead endpoint a
 // second time because the owner changed after it had noted that they had ended
 // (LOST on mix --seed 1021428094821 of the Kadrownia site: 27 s without the
