--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -11,6 +11,8 @@
 /// A ticket is not used in this last part of its validity, because the start
 /// request takes time to arrive.
 constexpr Duration TicketMargin{250};
+/// A longer validity in an answer is not relied on.
+constexpr Duration LongestValidity{60000};
 /// Pause of a step after a request that was refused or not answered, or whose
 /// answer is of no use.
 constexpr Duration UnansweredPause{300};
@@ -215,7 +217,7 @@
                          const cell::Advice &Result) {
   // The service decides near the end of a call, so the validity starts now. An
   // answer that states a longer validity than the queue's is not relied on.
-  Duration Validity = Result.Validity;
+  Duration Validity = std::min(Result.Validity, LongestValidity);
   Duration Configured = policyOf(Job).TicketValidity;
   if (Configured.count() > 0)
     Validity = std::min(Validity, Configured);
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -284,6 +284,8 @@
 
   static void expireWaiting(Peer &Target, SteadyTime Now,
                             std::vector<std::shared_ptr<Exchange>> &Late) {
+    if (Target.Waiting.empty())
+      return;
     std::deque<std::shared_ptr<Exchange>> Kept;
     for (std::shared_ptr<Exchange> &Job : Target.Waiting)
       (Job->Deadline <= Now ? Late.push_back(std::move(Job))
