--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -191,7 +191,7 @@
                {"allowed", std::to_string(Result.Tickets.size())},
                {"answered", IsAnswered ? "true" : "false"},
                {"malformed", IsMalformed ? "true" : "false"},
-               {"validity_ms", std::to_string(Result.Validity.count())},
+               {"valid_for_ms", std::to_string(Result.Validity.count())},
                {"after_ms", std::to_string((Now - Sent).count())}});
   if (IsMalformed)
     Log.count("advice_malformed");
