--- a/src/teaselwalk/cell/advice_plan_test.cpp
+++ b/src/teaselwalk/cell/advice_plan_test.cpp
@@ -18,6 +18,7 @@
 /// \p Count unknown endpoints with room for \p Places tasks each.
 std::vector<AdviceCandidate> unknownEndpoints(int Count, int64_t Places) {
   std::vector<AdviceCandidate> Result;
+  Result.reserve(static_cast<size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Result.push_back({EndpointId("u" + std::to_string(I)), Places,
                       static_cast<double>(I), false, Duration(0)});
--- a/src/teaselwalk/cell/testing/fake_advisory_service.hpp
+++ b/src/teaselwalk/cell/testing/fake_advisory_service.hpp
@@ -33,7 +33,7 @@
   /// Answers a request of the process at \p Through.
   void ask(const protocol::Address &Through, const StepKey &Step,
            const std::vector<EndpointId> &Candidates,
-           std::function<void(Advice)> Done) {
+           const std::function<void(Advice)> &Done) {
     Requests.push_back(Candidates.size());
     Duration Work =
         Base + Duration(static_cast<int64_t>(
