--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -73,9 +73,10 @@
   SettingsReloaded,
   JobRemoved,
   TaskPreempted,
+  ProcessLoad,
 };
 
-constexpr std::array<EnumName<EventName>, 67> EventNames = {{
+constexpr std::array<EnumName<EventName>, 68> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -143,6 +144,7 @@
     {EventName::SettingsReloaded, "settings_reloaded"},
     {EventName::JobRemoved, "job_removed"},
     {EventName::TaskPreempted, "task_preempted"},
+    {EventName::ProcessLoad, "process_load"},
 }};
 
 } // namespace teaselwalk
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -127,6 +127,7 @@
   TimePoint Now = Clock.now();
   if (Advice.IsInFlight || Advice.NotBefore > Now)
     return;
+  Log.count("advice_planned");
   AdviceNeed Need = adviceNeed(Job, Key);
   std::vector<EndpointId> Named =
       planAdvice(Need, adviceCandidates(Job, Key, Advice));
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -128,7 +128,10 @@
 
 void Owner::runSchedulingPass() {
   Pass = {};
-  for (const BacklogStep &Next : collectBacklog())
+  std::vector<BacklogStep> Steps = collectBacklog();
+  Log.count("scheduling_passes");
+  Log.count("steps_considered", static_cast<int64_t>(Steps.size()));
+  for (const BacklogStep &Next : Steps)
     placeStep(Next);
   Pass = {};
   writeChanged();
--- a/src/teaselwalk/node/core_loop.cpp
+++ b/src/teaselwalk/node/core_loop.cpp
@@ -35,8 +35,9 @@
 }
 
 bool CoreLoop::post(std::function<void()> Work) {
-  // A push that fails does not move from the work.
-  while (!Ring.tryPush(std::move(Work))) { // NOLINT(bugprone-use-after-move)
+  Item Next{std::move(Work), now()};
+  // A push that fails does not move from the item.
+  while (!Ring.tryPush(std::move(Next))) { // NOLINT(bugprone-use-after-move)
     if (Ring.closed())
       return false;
     std::this_thread::sleep_for(RetryInterval);
@@ -47,7 +48,7 @@
 bool CoreLoop::tryPost(std::function<void()> Work) {
   if (Ring.size() >= RingCapacity - ReservedForAnswers)
     return false;
-  return Ring.tryPush(std::move(Work));
+  return Ring.tryPush({std::move(Work), now()});
 }
 
 void CoreLoop::run() {
@@ -57,19 +58,27 @@
       Sleep = std::clamp(Timers.top().At - now(), Duration(0), MaxSleep);
     auto Next = Ring.popUntil(std::chrono::steady_clock::now() + Sleep);
     for (size_t Done = 0; Next && Done < MaxItemsPerRound; ++Done) {
-      invoke(*Next);
+      runItem(*Next);
       Next = Ring.tryPop();
     }
     if (Next)
-      invoke(*Next);
+      runItem(*Next);
     runTimers();
   }
 }
 
+void CoreLoop::runItem(const Item &Next) {
+  ++Load.Items;
+  Load.MaxQueueTime = std::max(Load.MaxQueueTime, now() - Next.PostedAt);
+  invoke(Next.Work);
+}
+
 void CoreLoop::runTimers() {
   TimePoint Now = now();
   while (!Timers.empty() && Timers.top().At <= Now) {
     std::function<void()> Work = Timers.top().Work;
+    ++Load.Items;
+    Load.MaxTimerDelay = std::max(Load.MaxTimerDelay, Now - Timers.top().At);
     Timers.pop();
     invoke(Work);
   }
--- a/src/teaselwalk/node/core_loop.hpp
+++ b/src/teaselwalk/node/core_loop.hpp
@@ -6,10 +6,19 @@
 #include <cstdint>
 #include <functional>
 #include <queue>
+#include <utility>
 #include <vector>
 
 namespace teaselwalk::node {
 
+/// How far a `CoreLoop` was behind in an interval.
+struct CoreLoad {
+  int64_t Items = 0; ///< Posted items and timers that ran.
+  /// Longest time from the posting of an item to its run.
+  Duration MaxQueueTime{0};
+  Duration MaxTimerDelay{0}; ///< Longest time that a timer ran late.
+};
+
 /// Event loop of the thread that `cell::SchedulerCore` runs on. Runs its timers
 /// and the work that other threads post, one item at a time.
 class CoreLoop : public cell::Executor {
@@ -30,6 +39,12 @@
   /// Thread-safe.
   bool tryPost(std::function<void()> Work);
 
+  /// The load since the last call. Not thread-safe, like `after()`.
+  CoreLoad takeLoad() { return std::exchange(Load, {}); }
+
+  /// Items that are queued now. Thread-safe.
+  size_t queueLength() const { return Ring.size(); }
+
   /// Runs until `stop()`. Work that is still queued then is dropped.
   void run();
   void stop() { Ring.close(); }
@@ -45,17 +60,24 @@
     }
   };
 
+  struct Item {
+    std::function<void()> Work;
+    TimePoint PostedAt;
+  };
+
   static constexpr size_t RingCapacity = 16384;
   /// Slots of the ring that `tryPost` leaves free for `post`.
   static constexpr size_t ReservedForAnswers = 8192;
 
   /// Runs \p Work and logs an exception that leaves it.
   void invoke(const std::function<void()> &Work);
+  void runItem(const Item &Next);
   void runTimers();
 
-  runtime::BoundedRing<std::function<void()>> Ring{RingCapacity};
+  runtime::BoundedRing<Item> Ring{RingCapacity};
   std::priority_queue<Timer> Timers;
   uint64_t NextSequence = 0;
+  CoreLoad Load;
 };
 
 } // namespace teaselwalk::node
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -49,6 +49,12 @@
 constexpr Duration MaxReadinessAge{1000};
 constexpr Duration ReadinessPublishInterval{100};
 
+/// The load of the process is measured over this time. It is logged if the
+/// scheduler was busier or further behind than these bounds.
+constexpr Duration LoadInterval{1000};
+constexpr int64_t MinLoggedItems = 1000;
+constexpr Duration MinLoggedDelay{100};
+
 http::ServerOptions serverOptions(const protocol::Address &At,
                                   int64_t MaxDescriptors) {
   http::ServerOptions Options;
@@ -114,6 +120,7 @@
     Core.tryPost([this] {
       Scheduler.start();
       publishReadiness();
+      reportLoad();
     });
   }
 
@@ -174,6 +181,27 @@
     Core.after(ReadinessPublishInterval, [this] { publishReadiness(); });
   }
 
+  /// Logs how far the scheduler was behind in the last interval and what it
+  /// did meanwhile.
+  void reportLoad() {
+    Core.after(LoadInterval, [this] { reportLoad(); });
+    CoreLoad Load = Core.takeLoad();
+    Duration Delay = std::max(Load.MaxQueueTime, Load.MaxTimerDelay);
+    Events.time("core_delay", Delay);
+    runtime::Fields Values{{"items", Load.Items},
+                           {"queued", static_cast<int64_t>(Core.queueLength())},
+                           {"queue_ms", Load.MaxQueueTime.count()},
+                           {"timer_late_ms", Load.MaxTimerDelay.count()}};
+    IntervalFigures Figures = Events.takeInterval();
+    for (const auto &[Name, Amount] : Figures.Counts)
+      Values.emplace_back(Name, Amount);
+    for (const auto &[Name, Longest] : Figures.LongestTimes)
+      Values.emplace_back(std::string(Name) + "_max_ms", Longest.count());
+    if (Load.Items >= MinLoggedItems || Delay >= MinLoggedDelay)
+      runtime::logEvent(runtime::Level::Info, EventName::ProcessLoad,
+                        std::move(Values));
+  }
+
   bool isReady() const {
     Duration Age = Core.now() - timeAt(ReadyAtMs);
     return !Draining && Age < MaxReadinessAge;
--- a/src/teaselwalk/node/recorder.cpp
+++ b/src/teaselwalk/node/recorder.cpp
@@ -2,6 +2,8 @@
 
 #include "teaselwalk/runtime/log.hpp"
 
+#include <algorithm>
+
 namespace teaselwalk::node {
 namespace {
 
@@ -18,6 +20,7 @@
 }
 
 void EventRecorder::count(const char *Name, int64_t Amount) {
+  Interval.Counts[Name] += Amount;
   runtime::Counter *&Cached = Counters[Name];
   if (Cached == nullptr)
     Cached =
@@ -26,6 +29,8 @@
 }
 
 void EventRecorder::time(const char *Name, Duration Length) {
+  Duration &Longest = Interval.LongestTimes[Name];
+  Longest = std::max(Longest, Length);
   runtime::Timing *&Cached = Timings[Name];
   if (Cached == nullptr)
     Cached =
