cell: advice requests are planned when they are sent, not in each scheduling pass

Cause: a scheduling pass planned an advice request for each step that lacked places, and each plan looked at all 1,100 endpoints (about 1 ms on half a core). A pass waits four times its own length before the next one, so after a burst passes came 2 times a second instead of 50, each found more steps and took longer (17, 236, 510 ms). The core did nothing else meanwhile: answers of the store and of probes waited, and owners that were alive were replaced. Class: overload that feeds itself.

Change: a step that lacks places queues its request without a plan; the endpoints are chosen once, when a route is free. That no endpoint has room is remembered for 20 ms. Waiting requests are in ordered queues instead of a list that each request searched. A plan checks room before it looks up advice, and sorts only the endpoints that it can name.

Ruled out as the first cause: the thread that sends and reads HTTP (no order failed without an answer before the first takeover).

--- a/include/teaselwalk/cell/advice_dispatcher.hpp
+++ b/include/teaselwalk/cell/advice_dispatcher.hpp
@@ -2,9 +2,11 @@
 
 #include "teaselwalk/cell/ports.hpp"
 
+#include <array>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace teaselwalk::cell {
@@ -44,7 +46,9 @@
   void ask(AdviceRequest Asked, Callback Done);
 
   /// Number of requests that wait for a route.
-  size_t waiting() const { return Waiting.size(); }
+  size_t waiting() const {
+    return Waiting[false].size() + Waiting[true].size();
+  }
 
 private:
   struct Route {
@@ -60,7 +64,12 @@
     int32_t UnansweredCalls = 0; ///< Calls that were not answered.
   };
 
+  /// Waiting requests in the order in which they are sent: whether over rate,
+  /// then by deadline.
+  using Queue = std::multimap<std::pair<bool, TimePoint>, Entry>;
+
   void dispatch();
+  void enqueue(std::pair<bool, TimePoint> Order, Entry Next);
   void noteOutcome(Route &Used, AdviceOutcome Outcome) const;
   std::shared_ptr<Route> freeRoute(bool IsLong);
   void send(const std::shared_ptr<Route> &Free, Entry Next);
@@ -69,7 +78,7 @@
   Advisor &AdvisoryService;
   Recorder &Log;
   std::vector<std::shared_ptr<Route>> Routes;
-  std::list<Entry> Waiting;
+  std::array<Queue, 2> Waiting; ///< Short requests, then long ones.
   bool IsRetryScheduled = false;
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
--- a/include/teaselwalk/cell/advice_plan.hpp
+++ b/include/teaselwalk/cell/advice_plan.hpp
@@ -35,6 +35,10 @@
 /// endpoints.
 Duration adviceTime(const AdviceNeed &Need, size_t Endpoints);
 
+/// Estimate of the number of endpoints that a request names, each with room for
+/// one task.
+size_t expectedEndpoints(const AdviceNeed &Need);
+
 /// Returns the endpoints that the next request should name, at most as many as
 /// the service accepts. The request is planned so that the tickets suffice for
 /// all tasks with a probability of about 0.84 (the expected number of places
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -123,6 +123,12 @@
     std::unordered_map<std::string, std::vector<Resources>> Failed;
   };
 
+  /// When no endpoint had room for a task.
+  struct FullFleet {
+    Resources Need;
+    TimePoint At;
+  };
+
   /// A job and the version of its record that was written.
   using RecordVersion = std::pair<JobId, int64_t>;
   /// The records in one write to the store.
@@ -208,8 +214,8 @@
   void completeTask(JobProgress &Job, const TaskKey &Key, bool IsCurrent);
   void failTask(JobProgress &Job, const TaskKey &Key);
   /// \p Service is the pool that the endpoint must belong to.
-  bool mayStartOn(const TrackedEndpoint &Endpoint,
-                  const std::string &Service) const;
+  bool mayStartOn(const TrackedEndpoint &Endpoint, const std::string &Service,
+                  TimePoint Now) const;
   void suspendEndpoint(TrackedEndpoint &Endpoint, Duration First);
 
   // owner_progress.cpp
@@ -264,7 +270,10 @@
   std::vector<EndpointId> claimCandidates(const StepKey &Key);
   std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
                                                 const StepKey &Key,
-                                                const StepAdvice &Advice) const;
+                                                const StepAdvice &Advice);
+  /// True if no endpoint of \p Service had room for \p Need, or for less,
+  /// shortly before.
+  bool hasNoRoom(const std::string &Service, const Resources &Need);
   double allowedShare(const std::string &Queue) const;
   /// False if the answer names endpoints that were not asked about, one twice,
   /// or tickets that have expired.
@@ -318,6 +327,8 @@
   std::unordered_map<std::string, Resources> TeamUsage;
   TeamRates Rates;
   std::map<StepKey, StepAdvice> StepAdvices;
+  std::unordered_map<std::string, std::vector<FullFleet>>
+      NoRoomFor;     ///< By service.
   RoomClaims Claims; ///< Of the steps whose requests for advice are open.
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "teaselwalk/cell/advice_plan.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace teaselwalk::cell {
@@ -44,40 +43,51 @@
 }
 
 void AdviceDispatcher::ask(AdviceRequest Asked, Callback Done) {
-  auto IsLater = [&](const Entry &Other) {
-    return std::tie(Asked.IsOverRate, Asked.Deadline) <
-           std::tie(Other.Asked.IsOverRate, Other.Asked.Deadline);
-  };
-  auto At = std::find_if(Waiting.begin(), Waiting.end(), IsLater);
-  Waiting.insert(At, {std::move(Asked), std::move(Done), Clock.now(), 0});
+  std::pair<bool, TimePoint> Order{Asked.IsOverRate, Asked.Deadline};
+  enqueue(Order, {std::move(Asked), std::move(Done), Clock.now(), 0});
   dispatch();
 }
 
+void AdviceDispatcher::enqueue(std::pair<bool, TimePoint> Order, Entry Next) {
+  bool IsLong = Next.Asked.Expected > LongAdviceRequest;
+  Waiting[IsLong].emplace(Order, std::move(Next));
+}
+
 std::shared_ptr<AdviceDispatcher::Route>
 AdviceDispatcher::freeRoute(bool IsLong) {
   size_t Reserved = IsLong && Routes.size() > 1
                         ? 1 + (Routes.size() - 1) / RoutesPerReservedRoute
                         : 0;
   // The reserved routes are the first ones, so short requests fill them first.
+  TimePoint Now = Clock.now();
   for (size_t I = Reserved; I < Routes.size(); ++I)
-    if (!Routes[I]->IsBusy && Routes[I]->PausedUntil <= Clock.now())
+    if (!Routes[I]->IsBusy && Routes[I]->PausedUntil <= Now)
       return Routes[I];
   return nullptr;
 }
 
 void AdviceDispatcher::dispatch() {
-  for (auto It = Waiting.begin(); It != Waiting.end();) {
-    std::shared_ptr<Route> Free =
-        freeRoute(It->Asked.Expected > LongAdviceRequest);
-    if (!Free) {
-      ++It;
-      continue;
+  while (true) {
+    Queue *Next = nullptr;
+    std::shared_ptr<Route> Free;
+    for (bool IsLong : {false, true}) {
+      Queue &Class = Waiting[IsLong];
+      bool IsLater = Next != nullptr && !Class.empty() &&
+                     Next->begin()->first <= Class.begin()->first;
+      std::shared_ptr<Route> Through =
+          Class.empty() || IsLater ? nullptr : freeRoute(IsLong);
+      if (!Through)
+        continue;
+      Next = &Class;
+      Free = std::move(Through);
     }
-    Entry Next = std::move(*It);
-    It = Waiting.erase(It);
-    send(Free, std::move(Next));
+    if (Next == nullptr)
+      break;
+    Entry First = std::move(Next->begin()->second);
+    Next->erase(Next->begin());
+    send(Free, std::move(First));
   }
-  if (Waiting.empty() || IsRetryScheduled)
+  if (waiting() == 0 || IsRetryScheduled)
     return;
   // Nothing calls `dispatch` when the pause of a route ends.
   IsRetryScheduled = true;
@@ -121,7 +131,7 @@
         Log.time("advice_call", Clock.now() - SentAt);
         if (Result.Outcome == AdviceOutcome::Unknown &&
             ++Sent->UnansweredCalls <= MaxUnansweredCalls)
-          Waiting.push_front(std::move(*Sent));
+          enqueue({false, TimePoint::min()}, std::move(*Sent));
         else
           Sent->Done(Asked, Result);
         dispatch();
--- a/src/teaselwalk/cell/advice_plan.cpp
+++ b/src/teaselwalk/cell/advice_plan.cpp
@@ -50,6 +50,11 @@
                          Need.PerEndpointMs * static_cast<double>(Endpoints)));
 }
 
+size_t expectedEndpoints(const AdviceNeed &Need) {
+  double Wanted = std::ceil(Need.Tasks / Need.AllowedShare);
+  return std::min(MaxCandidates, static_cast<size_t>(Wanted));
+}
+
 std::vector<EndpointId> planAdvice(const AdviceNeed &Need,
                                    std::vector<AdviceCandidate> Candidates) {
   // A long request is worth the endpoints with the most room, because each one
@@ -57,13 +62,25 @@
   bool IsLong = Need.Base > LongAdviceRequest;
   for (AdviceCandidate &Next : Candidates)
     Next.Places = std::min<int64_t>(Next.Places, Need.Tasks);
-  std::sort(Candidates.begin(), Candidates.end(),
-            [IsLong](const AdviceCandidate &A, const AdviceCandidate &B) {
-              int64_t PlacesOfA = IsLong ? -A.Places : 0;
-              int64_t PlacesOfB = IsLong ? -B.Places : 0;
-              return std::tie(B.IsAllowed, PlacesOfA, A.Score, A.Id) <
-                     std::tie(A.IsAllowed, PlacesOfB, B.Score, B.Id);
-            });
+  // At most `MaxCandidates` endpoints without a ticket are named, and those
+  // with one come first.
+  auto Allowed =
+      std::count_if(Candidates.begin(), Candidates.end(),
+                    [](const AdviceCandidate &Next) { return Next.IsAllowed; });
+  size_t Considered =
+      std::min(Candidates.size(), static_cast<size_t>(Allowed) + MaxCandidates);
+  std::partial_sort(
+      Candidates.begin(),
+      Candidates.begin() + static_cast<std::ptrdiff_t>(Considered),
+      Candidates.end(),
+      [IsLong](const AdviceCandidate &A, const AdviceCandidate &B) {
+        int64_t PlacesOfA = IsLong ? -A.Places : 0;
+        int64_t PlacesOfB = IsLong ? -B.Places : 0;
+        return std::tie(B.IsAllowed, PlacesOfA, A.Score, A.Id) <
+               std::tie(A.IsAllowed, PlacesOfB, B.Score, B.Id);
+      });
+  Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Considered),
+                   Candidates.end());
   if (!Need.StartsTogether)
     return choose(Need, Candidates, Duration(0));
   // The longer the request takes, the more tickets end before its answer.
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -18,6 +18,8 @@
 constexpr Duration UnansweredPause{300};
 /// Pause of a step for which there is no endpoint to ask about.
 constexpr Duration NoCandidatePause{80};
+/// That no endpoint has room for a task is not checked again for this time.
+constexpr Duration NoRoomMemory{20};
 /// Lower bound of the share of endpoints that a queue is allowed.
 constexpr double MinShare = 0.05;
 /// Endpoints after which the answers of a queue count half as much.
@@ -67,26 +69,37 @@
   return policyOf(Job).NeedsAdvice ? &StepAdvices[Key] : nullptr;
 }
 
-std::vector<AdviceCandidate>
-Owner::adviceCandidates(const JobProgress &Job, const StepKey &Key,
-                        const StepAdvice &Advice) const {
+std::vector<AdviceCandidate> Owner::adviceCandidates(const JobProgress &Job,
+                                                     const StepKey &Key,
+                                                     const StepAdvice &Advice) {
+  Log.count("advice_plans");
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
   const std::string &Service = policyOf(Job).Service;
   TimePoint Now = Clock.now();
+  bool HasRoom = false;
   std::vector<AdviceCandidate> Result;
   for (const auto &[Id, Endpoint] : Table) {
+    Resources Room = Endpoint.freeCapacity();
+    if (tasksThatFit(Step.Need, Room) == 0 ||
+        !mayStartOn(Endpoint, Service, Now))
+      continue;
+    Room -= Claims.claimed(Id);
+    int64_t Places = tasksThatFit(Step.Need, Room);
+    if (Places == 0)
+      continue;
+    HasRoom = true;
     auto Known = Advice.Endpoints.find(Id);
     bool IsKnown = Known != Advice.Endpoints.end() &&
                    Known->second.IncarnationMs == Endpoint.IncarnationMs;
     bool IsRefused = IsKnown && !Known->second.IsAllowed;
-    if (IsRefused || !mayStartOn(Endpoint, Service))
+    if (IsRefused)
       continue;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       continue;
-    Resources Room = Endpoint.freeCapacity() - Claims.claimed(Id);
-    if (Step.Opportunistic)
+    if (Step.Opportunistic) {
       Room.MilliCpu -= Endpoint.OpportunisticCpu;
-    int64_t Places = tasksThatFit(Step.Need, Room);
+      Places = tasksThatFit(Step.Need, Room);
+    }
     if (Step.MaxPerEndpoint > 0)
       Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
                                              countTasksOn(Endpoint, Key));
@@ -97,9 +110,26 @@
                 : Duration(0);
     Result.push_back({Id, Places, score(Endpoint, Step), IsKnown, TicketLeft});
   }
+  if (!HasRoom)
+    NoRoomFor[Service].push_back({Step.Need, Now});
   return Result;
 }
 
+bool Owner::hasNoRoom(const std::string &Service, const Resources &Need) {
+  auto Found = NoRoomFor.find(Service);
+  if (Found == NoRoomFor.end())
+    return false;
+  TimePoint Oldest = Clock.now() - NoRoomMemory;
+  std::vector<FullFleet> &Seen = Found->second;
+  Seen.erase(std::remove_if(
+                 Seen.begin(), Seen.end(),
+                 [Oldest](const FullFleet &Row) { return Row.At < Oldest; }),
+             Seen.end());
+  return std::any_of(Seen.begin(), Seen.end(), [&](const FullFleet &Row) {
+    return fits(Row.Need, Need);
+  });
+}
+
 double Owner::allowedShare(const std::string &Queue) const {
   auto Found = AllowedCounts.find(Queue);
   AllowedCount Count =
@@ -127,17 +157,13 @@
   TimePoint Now = Clock.now();
   if (Advice.IsInFlight || Advice.NotBefore > Now)
     return;
-  Log.count("advice_planned");
-  AdviceNeed Need = adviceNeed(Job, Key);
-  std::vector<EndpointId> Named =
-      planAdvice(Need, adviceCandidates(Job, Key, Advice));
-  if (Named.empty()) {
-    Advice.NotBefore = Now + NoCandidatePause;
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  if (hasNoRoom(policyOf(Job).Service, Step.Need))
     return;
-  }
+  AdviceNeed Need = adviceNeed(Job, Key);
   AdviceRequest Asked;
   Asked.Step = Key;
-  Asked.Expected = adviceTime(Need, Named.size());
+  Asked.Expected = adviceTime(Need, expectedEndpoints(Need));
   Asked.Deadline = Job.Objective;
   Asked.IsOverRate = Job.IsOverRate;
   Asked.Candidates = [this, Key] { return claimCandidates(Key); };
@@ -157,13 +183,13 @@
   if (Job == nullptr || Found == StepAdvices.end())
     return {};
   AdviceNeed Need = adviceNeed(*Job, Key);
-  if (Need.Tasks == 0)
+  const StepSpec &Step = Job->Spec.Steps[static_cast<size_t>(Key.Step)];
+  if (Need.Tasks == 0 || hasNoRoom(policyOf(*Job).Service, Step.Need))
     return {};
   std::vector<AdviceCandidate> Candidates =
       adviceCandidates(*Job, Key, Found->second);
   std::vector<EndpointId> Named = planAdvice(Need, Candidates);
-  Claims.set(Key, claimsOf(Need, Job->Spec.Steps[static_cast<size_t>(Key.Step)],
-                           Candidates, Named));
+  Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
   return Named;
 }
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -243,9 +243,10 @@
 const std::vector<TrackedEndpoint *> &
 Owner::usableEndpoints(const std::string &Service) {
   auto [Found, IsNew] = Pass.Usable.try_emplace(Service);
+  TimePoint Now = Clock.now();
   if (IsNew)
     for (auto &[Id, Endpoint] : Table)
-      if (mayStartOn(Endpoint, Service))
+      if (mayStartOn(Endpoint, Service, Now))
         Found->second.push_back(&Endpoint);
   return Found->second;
 }
@@ -302,7 +303,7 @@
     auto Found = Table.find(Id);
     if (Found != Table.end() &&
         Found->second.IncarnationMs == Known.IncarnationMs &&
-        mayStartOn(Found->second, Service))
+        mayStartOn(Found->second, Service, Now))
       Consider(Found->second);
   }
   return Best;
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -15,8 +15,7 @@
 } // namespace
 
 bool Owner::mayStartOn(const TrackedEndpoint &Endpoint,
-                       const std::string &Service) const {
-  TimePoint Now = Clock.now();
+                       const std::string &Service, TimePoint Now) const {
   return Endpoint.IsListed && !Endpoint.Info.Draining &&
          Endpoint.Info.Service == Service &&
          Endpoint.FencedToken == Endpoint.Token && Endpoint.StrayRuns.empty() &&
@@ -60,7 +59,8 @@
           continue;
         TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
                     static_cast<int32_t>(S), static_cast<int32_t>(T)};
-        bool CanStart = MayStart && mayStartOn(Table[Task.AssignedTo], Service);
+        bool CanStart =
+            MayStart && mayStartOn(Table[Task.AssignedTo], Service, Now);
         Unsent.push_back(Key);
         if (!CanStart)
           Released.push_back(Key);
