cell: a write that took effect confirms the ownership

Each was stored, given back, stored again and placed again, so nothing started while writes filled the store.

Cause: only renewals of the owner's lease, with a timeout of 0.4 s, confirmed the ownership. While answers took longer, every start was refused 2 s later, although each write of the owner succeeds only if it still is the owner.

Change: the time at which a successful write was sent counts as a confirmation too. The bounds for starts and extensions stay.

Test PlacementsAreKeptWhileOnlyWritesAreAnswered failed before: 100 of 200 starts, 200 placements given back.

--- a/include/teaselwalk/cell/fenced_writer.hpp
+++ b/include/teaselwalk/cell/fenced_writer.hpp
@@ -41,6 +41,10 @@
   /// `isBusy`.
   void commit(StoreTransaction Change, std::function<void(bool)> Done);
 
+  /// When the latest write that took effect was sent; the ownership had not
+  /// changed by then.
+  TimePoint confirmedAt() const { return ConfirmedAt; }
+
 private:
   void attempt();
   void onResult(const CommitResult &Result);
@@ -57,6 +61,7 @@
   AdaptiveTimeout Timer;
   int Attempts = 0; ///< Number of attempts at the current write.
   TimePoint SentAt; ///< When the latest attempt was sent.
+  TimePoint ConfirmedAt;
   StoreTransaction Current;
   std::function<void(bool)> Done;
   std::shared_ptr<char> Alive = std::make_shared<char>();
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -285,6 +285,11 @@
                     const std::vector<EndpointId> &Asked,
                     const cell::Advice &Result);
 
+  /// When the store last confirmed the ownership, by a renewal or a write.
+  TimePoint ownershipConfirmedAt() const;
+  /// True if the configuration and the evacuations are known well enough to
+  /// start tasks.
+  bool isDesiredStateFresh() const;
   const QueuePolicy &policyOf(const JobProgress &Job) const;
   JobProgress *jobOf(const JobId &Id);
   void tick();
--- a/src/teaselwalk/cell/fenced_writer.cpp
+++ b/src/teaselwalk/cell/fenced_writer.cpp
@@ -92,6 +92,8 @@
 
 void FencedWriter::finish(bool Written) {
   IsBusy = false;
+  if (Written)
+    ConfirmedAt = SentAt;
   Log.time("journal_commit", Clock.now() - StartedAt);
   if (auto Call = std::exchange(Done, nullptr))
     Call(Written);
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -44,8 +44,7 @@
   }
   bool IsSilent = Endpoint.LastAnswerAt == TimePoint() ||
                   Now - Endpoint.LastAnswerAt > ContactTimeout;
-  bool MayExtend =
-      Now - Hooks.OwnershipConfirmedAt() < MaxConfirmationAgeToExtend;
+  bool MayExtend = Now - ownershipConfirmedAt() < MaxConfirmationAgeToExtend;
   RenewRequest Request;
   Request.FencingToken = Endpoint.Token;
   // A restarted endpoint numbers its ends from the beginning, so an old number
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -25,6 +25,15 @@
              0;
 }
 
+TimePoint Owner::ownershipConfirmedAt() const {
+  return std::max(Hooks.OwnershipConfirmedAt(), Writer.confirmedAt());
+}
+
+bool Owner::isDesiredStateFresh() const {
+  std::optional<TimePoint> Confirmed = Hooks.DesiredStateConfirmedAt();
+  return Confirmed && Clock.now() - *Confirmed < MaxDesiredStateAge;
+}
+
 void Owner::suspendEndpoint(TrackedEndpoint &Endpoint, Duration First) {
   Endpoint.LatestSuspension =
       Endpoint.LatestSuspension.count() == 0
@@ -40,10 +49,9 @@
 
 void Owner::sendAssignedStarts(JobProgress &Job) {
   TimePoint Now = Clock.now();
-  auto Confirmed = Hooks.DesiredStateConfirmedAt();
   bool HasAuthority =
-      Now - Hooks.OwnershipConfirmedAt() < MaxConfirmationAgeToStart &&
-      Confirmed && Now - *Confirmed < MaxDesiredStateAge;
+      Now - ownershipConfirmedAt() < MaxConfirmationAgeToStart &&
+      isDesiredStateFresh();
   const std::string &Service = policyOf(Job).Service;
   std::vector<TaskKey> Starts;
   std::vector<TaskKey> Released;
--- a/src/teaselwalk/cell/store_faults_test.cpp
+++ b/src/teaselwalk/cell/store_faults_test.cpp
@@ -62,6 +62,25 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against placements that are stored and given back again and again
+// because the ownership is confirmed too late: the answers to lease renewals
+// take longer than their timeout, those to writes do not.
+TEST_F(StoreFaultsTest, PlacementsAreKeptWhileOnlyWritesAreAnswered) {
+  begin(60);
+  World.Cluster.DefaultWork.Length = Duration(4000);
+  JobSpec Job = World.job(1, {World.step(100, 100), World.step(100, 100)});
+  Job.Steps[1].After = {0};
+  World.send(OwnerIndex, CallerAction::Submit, Job);
+  World.Clock.runFor(Duration(200));
+  ASSERT_EQ(World.Cluster.Starts, 100);
+  // The second step is placed 4 s later.
+  slowStore(Duration(250));
+  World.Clock.runFor(Duration(6000));
+  EXPECT_EQ(World.Cluster.Starts, 200);
+  EXPECT_EQ(World.Processes[OwnerIndex]->Log.Events[EventName::RunLost], 0);
+  EXPECT_EQ(World.violations(), "");
+}
+
 // Guards against a takeover that misses records, or reads an outdated version
 // of them, because they were written in a bundle with others.
 TEST_F(StoreFaultsTest, TakeoverReadsBundledRecords) {
