cell: nothing is placed while the configuration is not confirmed

Change: a pass places nothing as long as starts would not be allowed.

Test NothingIsPlacedWhileTheConfigurationIsNotConfirmed failed before: 140 placements of one step in 7 s, 1 now.

--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -131,8 +131,11 @@
   std::vector<BacklogStep> Steps = collectBacklog();
   Log.count("scheduling_passes");
   Log.count("steps_considered", static_cast<int64_t>(Steps.size()));
-  for (const BacklogStep &Next : Steps)
-    placeStep(Next);
+  // A placement that may not be followed by a start would be given back after
+  // it is stored, and made again.
+  if (isDesiredStateFresh())
+    for (const BacklogStep &Next : Steps)
+      placeStep(Next);
   Pass = {};
   writeChanged();
 }
--- a/src/teaselwalk/cell/store_faults_test.cpp
+++ b/src/teaselwalk/cell/store_faults_test.cpp
@@ -81,6 +81,26 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against placements that are stored and given back again and again
+// while the configuration is not confirmed.
+TEST_F(StoreFaultsTest, NothingIsPlacedWhileTheConfigurationIsNotConfirmed) {
+  begin(60);
+  World.Cluster.DefaultWork.Length = Duration(5000);
+  JobSpec Job = World.job(1, {World.step(100, 100), World.step(100, 100)});
+  Job.Steps[1].After = {0};
+  World.send(OwnerIndex, CallerAction::Submit, Job);
+  World.Clock.runFor(Duration(200));
+  ASSERT_EQ(World.Cluster.Starts, 100);
+  store(OwnerIndex).UnreachablePrefix = OperatorPrefix;
+  World.Clock.runFor(Duration(7000));
+  EXPECT_EQ(World.Cluster.Starts, 100);
+  EXPECT_EQ(World.Processes[OwnerIndex]->Log.Events[EventName::StepPlaced], 1);
+  store(OwnerIndex).UnreachablePrefix.clear();
+  World.Clock.runFor(Duration(2000));
+  EXPECT_EQ(World.Cluster.Starts, 200);
+  EXPECT_EQ(World.violations(), "");
+}
+
 // Guards against a takeover that misses records, or reads an outdated version
 // of them, because they were written in a bundle with others.
 TEST_F(StoreFaultsTest, TakeoverReadsBundledRecords) {
--- a/src/teaselwalk/cell/testing/simulated_store.hpp
+++ b/src/teaselwalk/cell/testing/simulated_store.hpp
@@ -168,6 +168,8 @@
   bool IsSilent = false;         ///< Calls are lost: no effect and no answer.
   bool IsRefusing = false;       ///< Calls are answered with `Refused`.
   bool LosesWatchEvents = false; ///< Watches report no changes.
+  /// Lists and watches of this prefix are not answered; empty: all are.
+  std::string UnreachablePrefix;
   /// Number of next writes that take effect, but whose answers are lost.
   int LoseAnswers = 0;
   /// Number of next writes that get no answer and take effect `WriteDelay`
@@ -190,6 +192,8 @@
   }
   void list(const std::string &Prefix, Duration Timeout,
             std::function<void(StoreItems)> Done) override {
+    if (isUnreachable(Prefix))
+      return Own.after(Timeout, [Done = std::move(Done)] { Done({}); });
     call<StoreItems>(Timeout, std::move(Done),
                      [this, Prefix] { return Shared.list(Prefix); });
   }
@@ -243,6 +247,10 @@
 private:
   static constexpr Duration PollInterval{5};
 
+  bool isUnreachable(const std::string &Prefix) const {
+    return !UnreachablePrefix.empty() && Prefix == UnreachablePrefix;
+  }
+
   template <typename Result, typename Body>
   void call(Duration Timeout, std::function<void(Result)> Done, Body Work) {
     ++Calls;
@@ -267,7 +275,7 @@
   void poll(const std::string &Prefix, int64_t Revision, TimePoint End,
             std::function<void(StoreItems)> Done) {
     Network.after(PollInterval, [=, Done = std::move(Done)]() mutable {
-      if (IsSilent || IsRefusing)
+      if (IsSilent || IsRefusing || isUnreachable(Prefix))
         return Own.after(Duration(500), [Done] { Done({}); });
       StoreItems Found = Shared.changes(Prefix, Revision);
       if (LosesWatchEvents)
