http: an answer that arrived in time is not lost because the client was busy

Callers saw requests end as Lost although their answers lay in the socket when the deadline came, so the owner of a busy site started tasks again, raised fencing tokens, renewed more often and opened new connections: the work grew once the process was behind.

Cause: every operation had a timer of its own. Asio reports at most 128 ready sockets a round but expires all timers at once, so after a pause of the thread the timers of all other exchanges went off before their sockets were read.

Change: the client has a small event loop of its own (epoll, edge-triggered). Before it ends one it reads the socket; an answer that is there is delivered. If a part was there, the exchange has 100 ms more, once. A connection that is established when its time is up has not failed. A request waits in its peer's queue until any connection of the peer is free, instead of being tied to one attempt to connect. Requests are written as one buffer and answers are read by a parser without a tree of header fields.

Requests handed over while the thread is awake need no system call.

--- a/include/teaselwalk/http/client.hpp
+++ b/include/teaselwalk/http/client.hpp
@@ -58,7 +58,7 @@
 
 private:
   class Impl;
-  std::shared_ptr<Impl> State;
+  std::unique_ptr<Impl> State;
 };
 
 /// Sends one request on a connection of its own and waits for the answer.
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -1,338 +1,372 @@
 #include "teaselwalk/http/client.hpp"
 
-#include "teaselwalk/base/error.hpp"
-
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
-#include <deque>
-#include <map>
-#include <optional>
-#include <unordered_set>
+#include "connection.hpp"
+#include "poller.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <mutex>
 #include <utility>
-#include <vector>
+
+#include <sys/socket.h>
 
 namespace teaselwalk::http {
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace bhttp = boost::beast::http;
-using boost::system::error_code;
 using protocol::Address;
 using protocol::Delivery;
-using Tcp = asio::ip::tcp;
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-bhttp::request<bhttp::string_body> toBeast(const Address &Peer,
-                                           const Request &Message) {
-  bhttp::request<bhttp::string_body> Out;
-  Out.version(11);
-  Out.method_string(Message.Method);
-  Out.target(Message.Target);
-  Out.set(bhttp::field::host, Peer.Ip + ":" + std::to_string(Peer.Port));
-  Out.set(bhttp::field::content_type, "application/json");
-  if (!Message.Bearer.empty())
-    Out.set(bhttp::field::authorization, "Bearer " + Message.Bearer);
-  if (!Message.RequestId.empty())
-    Out.set("X-Request-Id", Message.RequestId);
-  for (const auto &[Name, Value] : Message.Headers)
-    Out.set(Name, Value);
-  Out.keep_alive(true);
-  Out.body() = Message.Body;
-  Out.prepare_payload();
-  return Out;
-}
 
-/// One request on its way, from `send()` to its callback.
-struct Exchange {
-  Request Message;
-  SteadyTime Deadline;
-  Client::Callback Done;
+/// An exchange ends at most this much after its deadline, unless its answer is
+/// being read.
+constexpr Duration SweepInterval{20};
+/// Further time, once, for an answer of which the last bytes may still be on
+/// their way because the first were read late.
+constexpr Duration LateAnswerGrace{100};
+constexpr size_t ReceiveBufferBytes = 65536;
 
-  void finish(Result Outcome) {
-    // The callback is released before the call because it may own the client.
-    if (Client::Callback Callee = std::exchange(Done, nullptr))
-      Callee(std::move(Outcome));
-  }
-};
+} // namespace
 
-struct Connection {
-  Connection(asio::io_context &Context, std::unordered_set<Connection *> &All)
-      : Stream(Context), All(All) {
-    All.insert(this);
+class Client::Impl {
+public:
+  explicit Impl(ClientOptions Options) : Options(Options) {}
+
+  void submit(const Address &To, Exchange Job) {
+    bool Wake = false;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Submitted.push_back({To, std::move(Job)});
+      Wake = std::exchange(Asleep, false);
+    }
+    if (Wake)
+      Events.wake();
   }
-  ~Connection() { All.erase(this); }
-  Connection(const Connection &) = delete;
-  Connection &operator=(const Connection &) = delete;
-
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
-  std::optional<bhttp::response_parser<bhttp::string_body>> Parser;
-  SteadyTime IdleSince;
-  std::unordered_set<Connection *> &All;
-};
 
-/// Connections to one address and the requests that wait for one.
-struct Peer {
-  std::vector<std::shared_ptr<Connection>> Idle;
-  std::deque<std::shared_ptr<Exchange>> Waiting;
-  size_t Open = 0;
-};
+  void run() {
+    while (!Stopped) {
+      size_t Count = Events.wait(timeToWait());
+      for (size_t I = 0; I < Count && !Stopped; ++I)
+        handle(Events.event(I));
+      beginSubmitted();
+      if (SteadyClock::now() >= NextSweep && !Stopped)
+        sweep();
+    }
+  }
 
-} // namespace
+  void stop() {
+    Stopped = true;
+    Events.wake();
+  }
 
-class Client::Impl : public std::enable_shared_from_this<Client::Impl> {
-public:
-  explicit Impl(ClientOptions Options)
-      : Options(Options), Work(asio::make_work_guard(Context)),
-        Sweeper(Context) {}
+private:
+  struct Submission {
+    Address To;
+    Exchange Job;
+  };
+
+  /// What a connection does in one of its states.
+  struct StateRow {
+    ConnectionState State;
+    void (Impl::*OnEvent)(ConnectionId Id, const Poller::Event &Seen);
+    void (Impl::*OnDeadline)(ConnectionId Id);
+  };
+  static const StateRow StateRows[];
+
+  /// In ms; 0 if requests were submitted, -1 if there is nothing to wait for.
+  int timeToWait() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Asleep = Submitted.empty();
+      if (!Asleep)
+        return 0;
+    }
+    if (NextSweep == SteadyTime::max())
+      return -1;
+    auto Left = NextSweep - SteadyClock::now();
+    return std::max(
+        0, static_cast<int>(std::chrono::ceil<Duration>(Left).count()));
+  }
 
-  /// Runs on the client's thread.
-  void begin(const Address &At, const std::shared_ptr<Exchange> &Job) {
-    if (Released)
-      return;
-    Peer &Target = Peers[At];
-    while (!Target.Idle.empty()) {
-      std::shared_ptr<Connection> Link = std::move(Target.Idle.back());
-      Target.Idle.pop_back();
-      if (!isClosedByPeer(*Link))
-        return transmit(At, Link, Job);
-      --Target.Open;
+  void beginSubmitted() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Asleep = false;
+      Begun.swap(Submitted);
     }
-    if (Target.Open < Options.MaxConnectionsPerPeer)
-      return connect(At, Job);
-    if (Target.Waiting.size() >= Options.MaxWaitingPerPeer)
-      return Job->finish({});
-    Target.Waiting.push_back(Job);
+    for (Submission &Item : Begun)
+      if (!Stopped)
+        begin(Item.To, std::move(Item.Job));
+    Begun.clear();
   }
 
-  /// Ends waiting requests past their deadline and closes idle connections.
-  void sweep() {
-    Sweeper.expires_after(SweepInterval);
-    Sweeper.async_wait([Self = shared_from_this()](error_code Failure) {
-      // A timer that expired before the release must not arm itself again.
-      if (Failure || Self->Released)
-        return;
-      Self->expire();
-      Self->sweep();
-    });
+  void begin(const Address &To, Exchange Job) {
+    Peer *Target = Pool.peer(To);
+    if (!Target || Target->Waiting.size() >= Options.MaxWaitingPerPeer)
+      return Job.finish(Delivery::NotSent);
+    Job.Begun = SteadyClock::now();
+    noteDeadline(Job.Deadline);
+    Target->Waiting.push_back(std::move(Job));
+    serve(*Target);
   }
 
-  /// Cancels all operations and releases their handlers, which own this
-  /// object. Without this, it and its context own each other.
-  void release() {
-    Released = true;
-    Work.reset();
-    Sweeper.cancel();
-    Peers.clear();
-    for (Connection *Link : Connections)
-      Link->Stream.close();
-    Context.restart();
-    Context.poll();
-    Peers.clear();
+  /// Sends waiting requests of \p Target on idle connections and opens
+  /// connections for the others.
+  void serve(Peer &Target) {
+    while (!Target.Waiting.empty() && !Target.Idle.empty()) {
+      ConnectionId Id = Pool.takeIdle(Target);
+      if (isClosedByPeer(Pool[Id].Socket)) {
+        Pool.close(Id);
+        continue;
+      }
+      Exchange Job = std::move(Target.Waiting.front());
+      Target.Waiting.pop_front();
+      transmit(Id, std::move(Job));
+    }
+    while (Target.Waiting.size() > Target.Connecting &&
+           Target.Open < Options.MaxConnectionsPerPeer)
+      connect(Target);
   }
 
-  ClientOptions Options;
-  std::unordered_set<Connection *> Connections;
-  asio::io_context Context{1};
+  void connect(Peer &Target) {
+    std::optional<ConnectionId> Id = Pool.open(Target, Events);
+    if (!Id)
+      return failFirst(Target);
+    Connection &Link = Pool[*Id];
+    Link.Opened = SteadyClock::now();
+    setDeadline(Link, Link.Opened + Options.ConnectTimeout);
+  }
 
-private:
-  /// A waiting request ends at most this much after its deadline.
-  static constexpr Duration SweepInterval{100};
-
-  /// Peeks: a connection that the peer has closed while idle would lose the
-  /// request sent on it.
-  static bool isClosedByPeer(Connection &Link) {
-    error_code Failure;
-    Link.Stream.socket().non_blocking(true, Failure);
-    char Byte = 0;
-    Link.Stream.socket().receive(asio::buffer(&Byte, 1),
-                                 Tcp::socket::message_peek, Failure);
-    return Failure != asio::error::would_block;
+  static void failFirst(Peer &Target) {
+    Exchange Job = std::move(Target.Waiting.front());
+    Target.Waiting.pop_front();
+    Job.finish(Delivery::NotSent);
   }
 
-  void connect(const Address &At, const std::shared_ptr<Exchange> &Job) {
-    error_code Failure;
-    auto Ip = asio::ip::make_address(At.Ip, Failure);
-    if (Failure)
-      return Job->finish({});
-    ++Peers[At].Open;
-    auto Link = std::make_shared<Connection>(Context, Connections);
-    SteadyTime Limit =
-        std::chrono::steady_clock::now() + Options.ConnectTimeout;
-    Link->Stream.expires_at(std::min(Limit, Job->Deadline));
-    Link->Stream.async_connect(
-        Tcp::endpoint(Ip, At.Port),
-        [Self = shared_from_this(), At, Link, Job](error_code Refused) {
-          if (Refused) {
-            Self->end(Job, {});
-            return Self->drop(At);
-          }
-          error_code Ignored;
-          Link->Stream.socket().set_option(Tcp::no_delay(true), Ignored);
-          Self->transmit(At, Link, Job);
-        });
+  void transmit(ConnectionId Id, Exchange Job) {
+    if (Job.Deadline <= SteadyClock::now()) {
+      release(Id);
+      return Job.finish(Delivery::NotSent);
+    }
+    Connection &Link = Pool[Id];
+    Link.State = ConnectionState::Exchanging;
+    Link.Job = std::move(Job);
+    Link.Sent = 0;
+    Link.HasGrace = true;
+    Link.Reader.reset(Options.MaxBodyBytes);
+    setDeadline(Link, Link.Job.Deadline);
+    flush(Id);
   }
 
-  void transmit(const Address &At, const std::shared_ptr<Connection> &Link,
-                const std::shared_ptr<Exchange> &Job) {
-    if (Job->Deadline <= std::chrono::steady_clock::now()) {
-      Job->finish({});
-      return reuse(At, Link);
+  void flush(ConnectionId Id) {
+    Connection &Link = Pool[Id];
+    while (Link.Sent < Link.Job.Text.size()) {
+      ssize_t Put =
+          ::send(Link.Socket.number(), Link.Job.Text.data() + Link.Sent,
+                 Link.Job.Text.size() - Link.Sent, MSG_NOSIGNAL);
+      if (Put < 0 && errno == EINTR)
+        continue;
+      if (Put < 0 && errno == EAGAIN)
+        return;
+      if (Put < 0)
+        return lose(Id);
+      Link.Sent += static_cast<size_t>(Put);
     }
-    auto Out = std::make_shared<bhttp::request<bhttp::string_body>>(
-        toBeast(At, Job->Message));
-    Link->Stream.expires_at(Job->Deadline);
-    bhttp::async_write(Link->Stream, *Out,
-                       [Self = shared_from_this(), At, Link, Job,
-                        Out](error_code Failure, size_t) {
-                         if (Failure)
-                           return Self->fail(At, Job);
-                         Self->receive(At, Link, Job);
-                       });
   }
 
-  void receive(const Address &At, const std::shared_ptr<Connection> &Link,
-               const std::shared_ptr<Exchange> &Job) {
-    Link->Parser.emplace();
-    Link->Parser->body_limit(Options.MaxBodyBytes);
-    bhttp::async_read(
-        Link->Stream, Link->Buffer, *Link->Parser,
-        [Self = shared_from_this(), At, Link, Job](error_code Failure, size_t) {
-          if (Failure)
-            return Self->fail(At, Job);
-          Self->complete(At, Link, Job);
-        });
+  /// Reads what has arrived, up to the end of the answer. Returns true if there
+  /// was anything. \p Drain: also if a read returns less than fits the buffer.
+  bool receive(ConnectionId Id, bool Drain) {
+    Connection &Link = Pool[Id];
+    bool HasRead = false;
+    while (true) {
+      ssize_t Got =
+          ::recv(Link.Socket.number(), Buffer.data(), Buffer.size(), 0);
+      if (Got < 0 && errno == EINTR)
+        continue;
+      if (Got < 0 && errno == EAGAIN)
+        return HasRead;
+      HasRead = true;
+      auto Size = static_cast<size_t>(std::max<ssize_t>(Got, 0));
+      auto Progress = Got > 0 ? Link.Reader.feed({Buffer.data(), Size})
+                              : Link.Reader.finish();
+      if (Progress == ResponseReader::Progress::Complete)
+        complete(Id);
+      else if (Progress == ResponseReader::Progress::Malformed)
+        lose(Id);
+      if (Progress != ResponseReader::Progress::Incomplete ||
+          (Size < Buffer.size() && !Drain))
+        return HasRead;
+    }
   }
 
-  void complete(const Address &At, const std::shared_ptr<Connection> &Link,
-                const std::shared_ptr<Exchange> &Job) {
-    auto Message = Link->Parser->release();
-    bool KeepAlive = Message.keep_alive();
-    Result Outcome;
-    Outcome.State = Delivery::Answered;
-    Outcome.Message.Status = static_cast<int>(Message.result_int());
-    Outcome.Message.ContentType =
-        std::string(Message[bhttp::field::content_type]);
-    Outcome.Message.Body = std::move(Message.body());
-    // The connection is free before the callback, which may send again.
-    if (KeepAlive)
-      reuse(At, Link);
+  void complete(ConnectionId Id) {
+    Connection &Link = Pool[Id];
+    Exchange Job = std::move(Link.Job);
+    Response Message = Link.Reader.take();
+    if (Link.Reader.keepsAlive() && Link.Sent == Job.Text.size())
+      release(Id);
     else
-      drop(At);
-    end(Job, std::move(Outcome));
+      Pool.close(Id);
+    Job.finish(Delivery::Answered, std::move(Message));
+  }
+
+  /// The peer may have read the request.
+  void lose(ConnectionId Id) {
+    Exchange Job = std::move(Pool[Id].Job);
+    Pool.close(Id);
+    Job.finish(Delivery::Lost);
   }
 
-  /// The request may have been read by the peer, so its end is Lost.
-  void fail(const Address &At, const std::shared_ptr<Exchange> &Job) {
-    Result Outcome;
-    Outcome.State = Delivery::Lost;
-    end(Job, std::move(Outcome));
-    drop(At);
+  /// The connection waits for its next request.
+  void release(ConnectionId Id) {
+    setDeadline(Pool[Id], SteadyClock::now() + Options.IdleTimeout);
+    Pool.release(Id);
   }
 
-  void reuse(const Address &At, const std::shared_ptr<Connection> &Link) {
-    if (Released)
+  void handle(const Poller::Event &Seen) {
+    std::optional<ConnectionId> Id = Pool.find(Seen.Tag);
+    if (!Id)
       return;
-    Peer &Target = Peers[At];
-    if (!Target.Waiting.empty()) {
-      std::shared_ptr<Exchange> Next = std::move(Target.Waiting.front());
-      Target.Waiting.pop_front();
-      return transmit(At, Link, Next);
-    }
-    Link->Stream.expires_never();
-    Link->IdleSince = std::chrono::steady_clock::now();
-    Target.Idle.push_back(Link);
+    Peer &Target = *Pool[*Id].Owner;
+    (this->*rowOf(Pool[*Id].State).OnEvent)(*Id, Seen);
+    serve(Target);
   }
 
-  /// No callback runs once the client is being destroyed.
-  void end(const std::shared_ptr<Exchange> &Job, Result Outcome) const {
-    if (!Released)
-      Job->finish(std::move(Outcome));
+  static const StateRow &rowOf(ConnectionState State) {
+    return StateRows[static_cast<size_t>(State)];
   }
 
-  void drop(const Address &At) {
-    if (Released)
-      return;
-    Peer &Target = Peers[At];
-    --Target.Open;
-    if (Target.Waiting.empty())
-      return;
-    std::shared_ptr<Exchange> Next = std::move(Target.Waiting.front());
-    Target.Waiting.pop_front();
-    connect(At, Next);
+  void onClosedEvent(ConnectionId, const Poller::Event &) {}
+
+  void onConnectEvent(ConnectionId Id, const Poller::Event &Seen) {
+    if (Seen.Closed || Seen.Writable)
+      finishConnect(Id, false);
   }
 
-  void expire() {
-    SteadyTime Now = std::chrono::steady_clock::now();
-    std::vector<std::shared_ptr<Exchange>> Late;
-    for (auto It = Peers.begin(); It != Peers.end();) {
-      expireWaiting(It->second, Now, Late);
-      closeIdle(It->second, Now);
-      bool Unused = It->second.Open == 0 && It->second.Waiting.empty();
-      It = Unused ? Peers.erase(It) : std::next(It);
-    }
-    for (const std::shared_ptr<Exchange> &Job : Late)
-      Job->finish({});
+  void onIdleEvent(ConnectionId Id, const Poller::Event &) {
+    if (isClosedByPeer(Pool[Id].Socket))
+      Pool.close(Id);
+  }
+
+  void onExchangeEvent(ConnectionId Id, const Poller::Event &Seen) {
+    if (Seen.Writable)
+      flush(Id);
+    if (Seen.Readable && Pool[Id].State == ConnectionState::Exchanging)
+      receive(Id, Seen.Closed);
+  }
+
+  void onClosedDeadline(ConnectionId) {}
+
+  void onConnectDeadline(ConnectionId Id) { finishConnect(Id, true); }
+
+  void onIdleDeadline(ConnectionId Id) { Pool.close(Id); }
+
+  /// Bytes in the socket have arrived in time; this thread was late.
+  void onExchangeDeadline(ConnectionId Id) {
+    bool HasRead = receive(Id, true);
+    Connection &Link = Pool[Id];
+    if (Link.State != ConnectionState::Exchanging)
+      return;
+    if (!HasRead || !std::exchange(Link.HasGrace, false))
+      return lose(Id);
+    setDeadline(Link, SteadyClock::now() + LateAnswerGrace);
   }
 
-  static void expireWaiting(Peer &Target, SteadyTime Now,
-                            std::vector<std::shared_ptr<Exchange>> &Late) {
-    if (Target.Waiting.empty())
+  void finishConnect(ConnectionId Id, bool IsLate) {
+    Connection &Link = Pool[Id];
+    if (isConnected(Link.Socket)) {
+      --Link.Owner->Connecting;
+      return release(Id);
+    }
+    if (!IsLate && !hasFailed(Link.Socket))
       return;
-    std::deque<std::shared_ptr<Exchange>> Kept;
-    for (std::shared_ptr<Exchange> &Job : Target.Waiting)
-      (Job->Deadline <= Now ? Late.push_back(std::move(Job))
-                            : Kept.push_back(std::move(Job)));
-    Target.Waiting.swap(Kept);
+    Peer &Target = *Link.Owner;
+    SteadyTime Opened = Link.Opened;
+    Pool.close(Id);
+    // Requests that came later have the whole time for a further connection.
+    if (!Target.Waiting.empty() &&
+        (!IsLate || Target.Waiting.front().Begun <= Opened))
+      failFirst(Target);
   }
 
-  void closeIdle(Peer &Target, SteadyTime Now) const {
-    for (auto It = Target.Idle.begin(); It != Target.Idle.end();) {
-      if (Now - (*It)->IdleSince < Options.IdleTimeout) {
-        ++It;
+  /// Ends what is past its deadline.
+  void sweep() {
+    LastSweep = SteadyClock::now();
+    NextSweep = SteadyTime::max();
+    for (ConnectionId Id = 0; Id < Pool.size(); ++Id) {
+      Connection &Link = Pool[Id];
+      if (Link.State == ConnectionState::Closed)
         continue;
+      if (Link.Deadline <= LastSweep) {
+        Peer &Target = *Link.Owner;
+        (this->*rowOf(Link.State).OnDeadline)(Id);
+        serve(Target);
       }
-      It = Target.Idle.erase(It);
-      --Target.Open;
+      if (Link.State != ConnectionState::Closed)
+        noteDeadline(Link.Deadline);
     }
+    std::vector<Exchange> Late;
+    Pool.forEachPeer([&](Peer &Target) {
+      Target.takeLate(LastSweep, Late);
+      for (const Exchange &Job : Target.Waiting)
+        noteDeadline(Job.Deadline);
+    });
+    Pool.eraseUnusedPeers();
+    for (Exchange &Job : Late)
+      Job.finish(Delivery::NotSent);
   }
 
-  bool Released = false;
-  asio::executor_work_guard<asio::io_context::executor_type> Work;
-  asio::steady_timer Sweeper;
-  std::map<Address, Peer> Peers;
+  void setDeadline(Connection &Link, SteadyTime Deadline) {
+    Link.Deadline = Deadline;
+    noteDeadline(Deadline);
+  }
+
+  void noteDeadline(SteadyTime Deadline) {
+    NextSweep =
+        std::min(NextSweep, std::max(Deadline, LastSweep + SweepInterval));
+  }
+
+  const ClientOptions Options;
+  std::atomic<bool> Stopped{false};
+  Poller Events;
+  ConnectionPool Pool;
+  std::vector<char> Buffer = std::vector<char>(ReceiveBufferBytes);
+  SteadyTime LastSweep = SteadyTime::min();
+  SteadyTime NextSweep = SteadyTime::max();
+  std::vector<Submission> Begun;
+  std::mutex Mutex;
+  std::vector<Submission> Submitted; ///< Under `Mutex`, like `Asleep`.
+  bool Asleep = false; ///< The next submission has to wake the thread.
+};
+
+const Client::Impl::StateRow Client::Impl::StateRows[] = {
+    {ConnectionState::Closed, &Impl::onClosedEvent, &Impl::onClosedDeadline},
+    {ConnectionState::Connecting, &Impl::onConnectEvent,
+     &Impl::onConnectDeadline},
+    {ConnectionState::Idle, &Impl::onIdleEvent, &Impl::onIdleDeadline},
+    {ConnectionState::Exchanging, &Impl::onExchangeEvent,
+     &Impl::onExchangeDeadline},
 };
 
 Client::Client(ClientOptions Options)
-    : State(std::make_shared<Impl>(Options)) {}
+    : State(std::make_unique<Impl>(Options)) {}
 
-Client::~Client() { State->release(); }
+Client::~Client() = default;
 
 void Client::send(const Address &Peer, Request Message, Duration Timeout,
                   Callback Done) {
-  auto Job = std::make_shared<Exchange>();
-  Job->Message = std::move(Message);
-  Job->Deadline = std::chrono::steady_clock::now() + Timeout;
-  Job->Done = std::move(Done);
-  asio::post(State->Context,
-             [Held = State, Peer, Job] { Held->begin(Peer, Job); });
+  Exchange Job;
+  Job.Text = encodeRequest(Peer, Message);
+  Job.Deadline = SteadyClock::now() + Timeout;
+  Job.Done = std::move(Done);
+  State->submit(Peer, std::move(Job));
 }
 
-void Client::run() {
-  State->sweep();
-  State->Context.run();
-}
+void Client::run() { State->run(); }
 
-void Client::stop() { State->Context.stop(); }
+void Client::stop() { State->stop(); }
 
-Result sendAndWait(const Address &Peer, const Request &Message,
+Result sendAndWait(const protocol::Address &Peer, const Request &Message,
                    Duration Timeout) {
   Client Sender{ClientOptions()};
   Result Outcome;
--- /dev/null
+++ b/src/teaselwalk/http/connection.cpp
@@ -0,0 +1,150 @@
+#include "connection.hpp"
+
+#include <algorithm>
+#include <cerrno>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace teaselwalk::http {
+namespace {
+
+constexpr int GenerationShift = 32;
+
+uint64_t tagOf(ConnectionId Id, uint32_t Generation) {
+  return static_cast<uint64_t>(Generation) << GenerationShift | Id;
+}
+
+int errorOf(const Descriptor &Socket) {
+  int Error = 0;
+  socklen_t Size = sizeof Error;
+  if (getsockopt(Socket.number(), SOL_SOCKET, SO_ERROR, &Error, &Size) < 0)
+    return errno;
+  return Error;
+}
+
+} // namespace
+
+void Exchange::finish(protocol::Delivery State, Response Message) {
+  // The callback is released because it may own the client.
+  if (Client::Callback Callee = std::exchange(Done, nullptr))
+    Callee({State, std::move(Message)});
+}
+
+void Peer::takeLate(SteadyTime Now, std::vector<Exchange> &Late) {
+  if (Waiting.empty())
+    return;
+  auto IsEarly = [Now](const Exchange &Job) { return Job.Deadline > Now; };
+  auto FirstLate =
+      std::stable_partition(Waiting.begin(), Waiting.end(), IsEarly);
+  std::move(FirstLate, Waiting.end(), std::back_inserter(Late));
+  Waiting.erase(FirstLate, Waiting.end());
+}
+
+bool isClosedByPeer(const Descriptor &Socket) {
+  char Byte = 0;
+  ssize_t Got = ::recv(Socket.number(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got >= 0 || errno != EAGAIN;
+}
+
+bool isConnected(const Descriptor &Socket) {
+  sockaddr_storage Remote{};
+  socklen_t Size = sizeof Remote;
+  return getpeername(Socket.number(), reinterpret_cast<sockaddr *>(&Remote),
+                     &Size) == 0;
+}
+
+bool hasFailed(const Descriptor &Socket) { return errorOf(Socket) != 0; }
+
+Peer *ConnectionPool::peer(const protocol::Address &At) {
+  auto Known = Peers.find(At);
+  if (Known != Peers.end())
+    return &Known->second;
+  boost::system::error_code Failure;
+  auto Ip = boost::asio::ip::make_address(At.Ip, Failure);
+  if (Failure)
+    return nullptr;
+  Peer &Added = Peers[At];
+  Added.Endpoint = {Ip, At.Port};
+  return &Added;
+}
+
+std::optional<ConnectionId> ConnectionPool::open(Peer &To, Poller &Events) {
+  Descriptor Socket(::socket(To.Endpoint.protocol().family(),
+                             SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!Socket.isOpen())
+    return std::nullopt;
+  int On = 1;
+  setsockopt(Socket.number(), IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  if (::connect(Socket.number(), To.Endpoint.data(), To.Endpoint.size()) < 0 &&
+      errno != EINPROGRESS)
+    return std::nullopt;
+  if (Free.empty()) {
+    Free.push_back(static_cast<ConnectionId>(Connections.size()));
+    Connections.emplace_back();
+  }
+  ConnectionId Id = Free.back();
+  Connection &Link = Connections[Id];
+  if (!Events.add(Socket, tagOf(Id, Link.Generation)))
+    return std::nullopt;
+  Free.pop_back();
+  Link.Socket = std::move(Socket);
+  Link.State = ConnectionState::Connecting;
+  Link.Owner = &To;
+  ++To.Open;
+  ++To.Connecting;
+  return Id;
+}
+
+void ConnectionPool::close(ConnectionId Id) {
+  Connection &Link = Connections[Id];
+  Peer &Target = *Link.Owner;
+  if (Link.State == ConnectionState::Connecting)
+    --Target.Connecting;
+  Target.Idle.erase(std::remove(Target.Idle.begin(), Target.Idle.end(), Id),
+                    Target.Idle.end());
+  --Target.Open;
+  Link.Socket.reset();
+  Link.State = ConnectionState::Closed;
+  Link.Owner = nullptr;
+  Link.Job = {};
+  Link.Reader = {};
+  ++Link.Generation;
+  Free.push_back(Id);
+}
+
+void ConnectionPool::release(ConnectionId Id) {
+  Connection &Link = Connections[Id];
+  Link.State = ConnectionState::Idle;
+  Link.Owner->Idle.push_back(Id);
+}
+
+ConnectionId ConnectionPool::takeIdle(Peer &Target) {
+  ConnectionId Id = Target.Idle.back();
+  Target.Idle.pop_back();
+  return Id;
+}
+
+std::optional<ConnectionId> ConnectionPool::find(uint64_t Tag) const {
+  auto Id = static_cast<ConnectionId>(Tag);
+  if (Id >= Connections.size() ||
+      Connections[Id].State == ConnectionState::Closed ||
+      tagOf(Id, Connections[Id].Generation) != Tag)
+    return std::nullopt;
+  return Id;
+}
+
+void ConnectionPool::forEachPeer(const std::function<void(Peer &)> &Visit) {
+  for (auto &[At, Target] : Peers)
+    Visit(Target);
+}
+
+void ConnectionPool::eraseUnusedPeers() {
+  for (auto It = Peers.begin(); It != Peers.end();) {
+    bool Unused = It->second.Open == 0 && It->second.Waiting.empty();
+    It = Unused ? Peers.erase(It) : std::next(It);
+  }
+}
+
+} // namespace teaselwalk::http
--- /dev/null
+++ b/src/teaselwalk/http/connection.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "poller.hpp"
+#include "wire.hpp"
+
+#include "teaselwalk/http/client.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace teaselwalk::http {
+
+using SteadyClock = std::chrono::steady_clock;
+using SteadyTime = SteadyClock::time_point;
+using ConnectionId = uint32_t;
+
+/// One request on its way, from `send()` to its callback.
+struct Exchange {
+  std::string Text; ///< Head and body as sent.
+  SteadyTime Deadline;
+  SteadyTime Begun;
+  Client::Callback Done;
+
+  void finish(protocol::Delivery State, Response Message = {});
+};
+
+/// In the order of the rows of `StateRows`.
+enum class ConnectionState { Closed, Connecting, Idle, Exchanging };
+
+/// Connections to one address and the requests that wait for one.
+struct Peer {
+  boost::asio::ip::tcp::endpoint Endpoint;
+  std::vector<ConnectionId> Idle; ///< The most recently used one is last.
+  std::deque<Exchange> Waiting;
+  size_t Open = 0;
+  size_t Connecting = 0;
+
+  /// Moves the waiting requests past their deadline to \p Late.
+  void takeLate(SteadyTime Now, std::vector<Exchange> &Late);
+};
+
+struct Connection {
+  Descriptor Socket;
+  ConnectionState State = ConnectionState::Closed;
+  uint32_t Generation = 0; ///< Events of an earlier one are void.
+  Peer *Owner = nullptr;
+  SteadyTime Opened;
+  SteadyTime Deadline; ///< Of the present state.
+  bool HasGrace = true;
+  size_t Sent = 0; ///< Bytes of the request.
+  Exchange Job;
+  ResponseReader Reader;
+};
+
+/// True if the connection has ended or holds unexpected bytes: it would lose
+/// the next request.
+bool isClosedByPeer(const Descriptor &Socket);
+
+bool isConnected(const Descriptor &Socket);
+
+/// True if the attempt to connect has ended in an error.
+bool hasFailed(const Descriptor &Socket);
+
+/// The connections of a client and its peers. Ids of closed connections are
+/// used again. References to peers are valid until `eraseUnusedPeers()`.
+class ConnectionPool {
+public:
+  /// Nothing if \p At has no valid IP address.
+  Peer *peer(const protocol::Address &At);
+
+  /// Starts to connect. Nothing if the system refuses.
+  std::optional<ConnectionId> open(Peer &To, Poller &Events);
+  void close(ConnectionId Id);
+
+  /// Marks a connection as idle.
+  void release(ConnectionId Id);
+  /// Removes the most recently used idle connection of \p Target.
+  ConnectionId takeIdle(Peer &Target);
+
+  /// The connection of an event, if it is still open.
+  std::optional<ConnectionId> find(uint64_t Tag) const;
+
+  size_t size() const { return Connections.size(); }
+  Connection &operator[](ConnectionId Id) { return Connections[Id]; }
+
+  void forEachPeer(const std::function<void(Peer &)> &Visit);
+  void eraseUnusedPeers();
+
+private:
+  struct AddressHash {
+    size_t operator()(const protocol::Address &Value) const {
+      return std::hash<std::string>()(Value.Ip) * 31 + Value.Port;
+    }
+  };
+
+  std::unordered_map<protocol::Address, Peer, AddressHash> Peers;
+  /// A deque keeps references valid while connections are added.
+  std::deque<Connection> Connections;
+  std::vector<ConnectionId> Free;
+};
+
+} // namespace teaselwalk::http
