http: all connections of a client together are bounded, and those to an endpoint are few

Callers saw 13,020 new connections on a site of 1,100 endpoints and 7,402 open descriptors in the busiest process, where machines have 4,100 to 8,192: a client opened up to 24 connections to each peer, whatever it held in total.

Change: ClientOptions.MaxConnections bounds the connections to all peers; a node sets it to half of its descriptors beyond the reserve, as its servers do. A request names the kind of its peer: an endpoint gets up to 6 connections, a service (store, advisory service, other processes) up to MaxConnectionsPerPeer, and an eighth of all is kept for services. Beyond the bounds requests wait until their deadline. To make room the least recently used idle connection is closed; a peer takes its most recently used one first. Peers that wait for room are served in turn, and a peer with several connections gives one up for them after an exchange.

--- a/include/teaselwalk/http/client.hpp
+++ b/include/teaselwalk/http/client.hpp
@@ -11,10 +11,20 @@
 
 namespace teaselwalk::http {
 
+/// Decides how many connections a peer may have.
+enum class PeerKind {
+  Service,  ///< One of a few peers, such as the store.
+  Endpoint, ///< One of many peers of which each is rarely used.
+};
+
+/// Beyond the bounds on connections, requests wait for one.
 struct ClientOptions {
-  size_t MaxBodyBytes = 4194304;     ///< A larger answer counts as lost.
-  size_t MaxConnectionsPerPeer = 64; ///< Open at the same time.
-  size_t MaxWaitingPerPeer = 1024;   ///< Further requests end as NotSent.
+  size_t MaxBodyBytes = 4194304; ///< A larger answer counts as lost.
+  /// Open at the same time to all peers. An eighth is kept for services.
+  size_t MaxConnections = 4096;
+  size_t MaxConnectionsPerPeer = 64;    ///< To one service.
+  size_t MaxConnectionsPerEndpoint = 6; ///< To one endpoint.
+  size_t MaxWaitingPerPeer = 1024;      ///< Further requests end as NotSent.
   Duration ConnectTimeout{1000};
   Duration IdleTimeout{30000}; ///< Then an unused connection is closed.
 };
@@ -48,9 +58,10 @@
 
   /// Thread-safe. Calls \p Done exactly once, on the thread of `run()`, unless
   /// the client is destroyed first. The
-  /// timeout covers waiting for a connection, sending and the answer.
-  void send(const protocol::Address &Peer, Request Message, Duration Timeout,
-            Callback Done);
+  /// timeout covers waiting for a connection, sending and the answer. An
+  /// address keeps the kind of its first request.
+  void send(const protocol::Address &Peer, const Request &Message,
+            Duration Timeout, Callback Done, PeerKind Kind = PeerKind::Service);
 
   /// Works until `stop()`.
   void run();
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -29,13 +29,13 @@
 
 class Client::Impl {
 public:
-  explicit Impl(ClientOptions Options) : Options(Options) {}
+  explicit Impl(ClientOptions Options) : Options(Options), Pool(Options) {}
 
-  void submit(const Address &To, Exchange Job) {
+  void submit(const Address &To, PeerKind Kind, Exchange Job) {
     bool Wake = false;
     {
       std::lock_guard<std::mutex> Lock(Mutex);
-      Submitted.push_back({To, std::move(Job)});
+      Submitted.push_back({To, Kind, std::move(Job)});
       Wake = std::exchange(Asleep, false);
     }
     if (Wake)
@@ -50,6 +50,8 @@
       beginSubmitted();
       if (SteadyClock::now() >= NextSweep && !Stopped)
         sweep();
+      if (!Stopped)
+        serveStarved();
     }
   }
 
@@ -61,6 +63,7 @@
 private:
   struct Submission {
     Address To;
+    PeerKind Kind;
     Exchange Job;
   };
 
@@ -95,12 +98,12 @@
     }
     for (Submission &Item : Begun)
       if (!Stopped)
-        begin(Item.To, std::move(Item.Job));
+        begin(Item.To, Item.Kind, std::move(Item.Job));
     Begun.clear();
   }
 
-  void begin(const Address &To, Exchange Job) {
-    Peer *Target = Pool.peer(To);
+  void begin(const Address &To, PeerKind Kind, Exchange Job) {
+    Peer *Target = Pool.peer(To, Kind);
     if (!Target || Target->Waiting.size() >= Options.MaxWaitingPerPeer)
       return Job.finish(Delivery::NotSent);
     Job.Begun = SteadyClock::now();
@@ -122,9 +125,21 @@
       Target.Waiting.pop_front();
       transmit(Id, std::move(Job));
     }
-    while (Target.Waiting.size() > Target.Connecting &&
-           Target.Open < Options.MaxConnectionsPerPeer)
+    while (Pool.needsConnection(Target)) {
+      if (Pool.hasStarved(Target.Kind) || !Pool.makeRoom(Target.Kind))
+        return Pool.starve(Target);
       connect(Target);
+    }
+  }
+
+  /// Gives room to the peers that wait for it, one connection at a time.
+  void serveStarved() {
+    while (Peer *Next = Pool.takeStarved()) {
+      if (Pool.needsConnection(*Next))
+        connect(*Next);
+      if (Pool.needsConnection(*Next))
+        Pool.starve(*Next);
+    }
   }
 
   void connect(Peer &Target) {
@@ -203,7 +218,9 @@
     Connection &Link = Pool[Id];
     Exchange Job = std::move(Link.Job);
     Response Message = Link.Reader.take();
-    if (Link.Reader.keepsAlive() && Link.Sent == Job.Text.size())
+    const Peer &Owner = *Link.Owner;
+    bool MakesWay = Owner.Open > 1 && Pool.hasStarved(Owner.Kind);
+    if (Link.Reader.keepsAlive() && Link.Sent == Job.Text.size() && !MakesWay)
       release(Id);
     else
       Pool.close(Id);
@@ -353,13 +370,13 @@
 
 Client::~Client() = default;
 
-void Client::send(const Address &Peer, Request Message, Duration Timeout,
-                  Callback Done) {
+void Client::send(const Address &Peer, const Request &Message, Duration Timeout,
+                  Callback Done, PeerKind Kind) {
   Exchange Job;
   Job.Text = encodeRequest(Peer, Message);
   Job.Deadline = SteadyClock::now() + Timeout;
   Job.Done = std::move(Done);
-  State->submit(Peer, std::move(Job));
+  State->submit(Peer, Kind, std::move(Job));
 }
 
 void Client::run() { State->run(); }
--- a/src/teaselwalk/http/connection.cpp
+++ b/src/teaselwalk/http/connection.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int GenerationShift = 32;
+/// One of this many connections is kept for services.
+constexpr size_t ServiceShare = 8;
 
 uint64_t tagOf(ConnectionId Id, uint32_t Generation) {
   return static_cast<uint64_t>(Generation) << GenerationShift | Id;
@@ -57,7 +59,17 @@
 
 bool hasFailed(const Descriptor &Socket) { return errorOf(Socket) != 0; }
 
-Peer *ConnectionPool::peer(const protocol::Address &At) {
+ConnectionPool::ConnectionPool(const ClientOptions &Options)
+    : MaxConnections(Options.MaxConnections) {
+  KindState &Services = kind(PeerKind::Service);
+  Services.MaxPerPeer = Options.MaxConnectionsPerPeer;
+  Services.MaxOpen = MaxConnections;
+  KindState &Endpoints = kind(PeerKind::Endpoint);
+  Endpoints.MaxPerPeer = Options.MaxConnectionsPerEndpoint;
+  Endpoints.MaxOpen = MaxConnections - MaxConnections / ServiceShare;
+}
+
+Peer *ConnectionPool::peer(const protocol::Address &At, PeerKind Kind) {
   auto Known = Peers.find(At);
   if (Known != Peers.end())
     return &Known->second;
@@ -67,9 +79,54 @@
     return nullptr;
   Peer &Added = Peers[At];
   Added.Endpoint = {Ip, At.Port};
+  Added.Kind = Kind;
   return &Added;
 }
 
+bool ConnectionPool::needsConnection(const Peer &Target) const {
+  return Target.Waiting.size() > Target.Connecting &&
+         Target.Open < kind(Target.Kind).MaxPerPeer;
+}
+
+size_t ConnectionPool::openConnections() const {
+  return Connections.size() - Free.size();
+}
+
+bool ConnectionPool::makeRoom(PeerKind Kind) {
+  const KindState &State = kind(Kind);
+  if (State.Open >= State.MaxOpen)
+    return closeOldestIdle(Kind);
+  return openConnections() < MaxConnections ||
+         closeOldestIdle(PeerKind::Endpoint) ||
+         closeOldestIdle(PeerKind::Service);
+}
+
+bool ConnectionPool::closeOldestIdle(PeerKind Kind) {
+  ConnectionId Id = kind(Kind).OldestIdle;
+  if (Id == NoConnection)
+    return false;
+  close(Id);
+  return true;
+}
+
+void ConnectionPool::starve(Peer &Target) {
+  if (!std::exchange(Target.IsStarved, true))
+    kind(Target.Kind).Starved.push_back(&Target);
+}
+
+Peer *ConnectionPool::takeStarved() {
+  for (PeerKind Kind : {PeerKind::Service, PeerKind::Endpoint}) {
+    std::deque<Peer *> &Starved = kind(Kind).Starved;
+    if (Starved.empty() || !makeRoom(Kind))
+      continue;
+    Peer *Next = Starved.front();
+    Starved.pop_front();
+    Next->IsStarved = false;
+    return Next;
+  }
+  return nullptr;
+}
+
 std::optional<ConnectionId> ConnectionPool::open(Peer &To, Poller &Events) {
   Descriptor Socket(::socket(To.Endpoint.protocol().family(),
                              SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
@@ -94,6 +151,7 @@
   Link.Owner = &To;
   ++To.Open;
   ++To.Connecting;
+  ++kind(To.Kind).Open;
   return Id;
 }
 
@@ -102,9 +160,12 @@
   Peer &Target = *Link.Owner;
   if (Link.State == ConnectionState::Connecting)
     --Target.Connecting;
+  if (Link.State == ConnectionState::Idle)
+    unlinkIdle(Id);
   Target.Idle.erase(std::remove(Target.Idle.begin(), Target.Idle.end(), Id),
                     Target.Idle.end());
   --Target.Open;
+  --kind(Target.Kind).Open;
   Link.Socket.reset();
   Link.State = ConnectionState::Closed;
   Link.Owner = nullptr;
@@ -116,13 +177,30 @@
 
 void ConnectionPool::release(ConnectionId Id) {
   Connection &Link = Connections[Id];
+  KindState &State = kind(Link.Owner->Kind);
   Link.State = ConnectionState::Idle;
   Link.Owner->Idle.push_back(Id);
+  Link.Older = State.NewestIdle;
+  Link.Newer = NoConnection;
+  (Link.Older == NoConnection ? State.OldestIdle
+                              : Connections[Link.Older].Newer) = Id;
+  State.NewestIdle = Id;
+}
+
+void ConnectionPool::unlinkIdle(ConnectionId Id) {
+  const Connection &Link = Connections[Id];
+  KindState &State = kind(Link.Owner->Kind);
+  (Link.Older == NoConnection ? State.OldestIdle
+                              : Connections[Link.Older].Newer) = Link.Newer;
+  (Link.Newer == NoConnection ? State.NewestIdle
+                              : Connections[Link.Newer].Older) = Link.Older;
 }
 
 ConnectionId ConnectionPool::takeIdle(Peer &Target) {
   ConnectionId Id = Target.Idle.back();
   Target.Idle.pop_back();
+  unlinkIdle(Id);
+  Connections[Id].State = ConnectionState::Exchanging;
   return Id;
 }
 
@@ -142,7 +220,9 @@
 
 void ConnectionPool::eraseUnusedPeers() {
   for (auto It = Peers.begin(); It != Peers.end();) {
-    bool Unused = It->second.Open == 0 && It->second.Waiting.empty();
+    const Peer &Target = It->second;
+    bool Unused =
+        Target.Open == 0 && Target.Waiting.empty() && !Target.IsStarved;
     It = Unused ? Peers.erase(It) : std::next(It);
   }
 }
--- a/src/teaselwalk/http/connection.hpp
+++ b/src/teaselwalk/http/connection.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -22,6 +23,9 @@
 using SteadyTime = SteadyClock::time_point;
 using ConnectionId = uint32_t;
 
+constexpr ConnectionId NoConnection = UINT32_MAX;
+constexpr size_t PeerKindCount = 2;
+
 /// One request on its way, from `send()` to its callback.
 struct Exchange {
   std::string Text; ///< Head and body as sent.
@@ -38,10 +42,12 @@
 /// Connections to one address and the requests that wait for one.
 struct Peer {
   boost::asio::ip::tcp::endpoint Endpoint;
+  PeerKind Kind = PeerKind::Service;
   std::vector<ConnectionId> Idle; ///< The most recently used one is last.
   std::deque<Exchange> Waiting;
   size_t Open = 0;
   size_t Connecting = 0;
+  bool IsStarved = false; ///< In the queue for room.
 
   /// Moves the waiting requests past their deadline to \p Late.
   void takeLate(SteadyTime Now, std::vector<Exchange> &Late);
@@ -53,7 +59,9 @@
   uint32_t Generation = 0; ///< Events of an earlier one are void.
   Peer *Owner = nullptr;
   SteadyTime Opened;
-  SteadyTime Deadline; ///< Of the present state.
+  SteadyTime Deadline;               ///< Of the present state.
+  ConnectionId Older = NoConnection; ///< Neighbours among the idle ones.
+  ConnectionId Newer = NoConnection;
   bool HasGrace = true;
   size_t Sent = 0; ///< Bytes of the request.
   Exchange Job;
@@ -73,8 +81,25 @@
 /// used again. References to peers are valid until `eraseUnusedPeers()`.
 class ConnectionPool {
 public:
+  explicit ConnectionPool(const ClientOptions &Options);
+
   /// Nothing if \p At has no valid IP address.
-  Peer *peer(const protocol::Address &At);
+  Peer *peer(const protocol::Address &At, PeerKind Kind);
+
+  /// True if more requests wait than connections are being opened, and
+  /// \p Target may have a further one as far as its own number goes.
+  bool needsConnection(const Peer &Target) const;
+
+  /// True if there is room for a further connection to a peer of this kind.
+  /// Closes the least recently used idle connection if need be.
+  bool makeRoom(PeerKind Kind);
+
+  /// Lets \p Target wait for room.
+  void starve(Peer &Target);
+  bool hasStarved(PeerKind Kind) const { return !kind(Kind).Starved.empty(); }
+  /// Removes the next peer for which there is room from those that wait for it.
+  /// Nothing if there is none.
+  Peer *takeStarved();
 
   /// Starts to connect. Nothing if the system refuses.
   std::optional<ConnectionId> open(Peer &To, Poller &Events);
@@ -101,6 +126,26 @@
     }
   };
 
+  /// All peers of one kind.
+  struct KindState {
+    size_t MaxPerPeer = 0;
+    size_t MaxOpen = 0;
+    size_t Open = 0;
+    ConnectionId OldestIdle = NoConnection;
+    ConnectionId NewestIdle = NoConnection;
+    std::deque<Peer *> Starved;
+  };
+
+  KindState &kind(PeerKind Kind) { return Kinds[static_cast<size_t>(Kind)]; }
+  const KindState &kind(PeerKind Kind) const {
+    return Kinds[static_cast<size_t>(Kind)];
+  }
+  size_t openConnections() const;
+  bool closeOldestIdle(PeerKind Kind);
+  void unlinkIdle(ConnectionId Id);
+
+  const size_t MaxConnections;
+  std::array<KindState, PeerKindCount> Kinds;
   std::unordered_map<protocol::Address, Peer, AddressHash> Peers;
   /// A deque keeps references valid while connections are added.
   std::deque<Connection> Connections;
--- a/src/teaselwalk/http/scripted_peer.hpp
+++ b/src/teaselwalk/http/scripted_peer.hpp
@@ -20,8 +20,7 @@
 /// reads and answers.
 class ScriptedPeer {
 public:
-  ScriptedPeer()
-      : Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}) {}
+  ScriptedPeer() : Acceptor(Context, {boost::asio::ip::address_v4::any(), 0}) {}
 
   protocol::Address address() const {
     return {"127.0.0.1", Acceptor.local_endpoint().port()};
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -55,6 +55,14 @@
 constexpr int64_t MinLoggedItems = 1000;
 constexpr Duration MinLoggedDelay{100};
 
+/// The connections that callers and other processes may open, and as many that
+/// this process may open.
+size_t maxConnections(int64_t MaxDescriptors) {
+  constexpr int64_t Least = 64;
+  return static_cast<size_t>(
+      std::max(Least, (MaxDescriptors - ReservedFileDescriptors) / 2));
+}
+
 http::ServerOptions serverOptions(const protocol::Address &At,
                                   int64_t MaxDescriptors) {
   http::ServerOptions Options;
@@ -62,13 +70,13 @@
   Options.Port = At.Port;
   Options.MaxBodyBytes = 1 << 20;
   Options.MaxHeaderBytes = 16384;
-  Options.MaxConnections = static_cast<size_t>(
-      std::max<int64_t>(64, (MaxDescriptors - ReservedFileDescriptors) / 2));
+  Options.MaxConnections = maxConnections(MaxDescriptors);
   return Options;
 }
 
-http::ClientOptions clientOptions() {
+http::ClientOptions clientOptions(int64_t MaxDescriptors) {
   http::ClientOptions Options;
+  Options.MaxConnections = maxConnections(MaxDescriptors);
   Options.MaxConnectionsPerPeer = 24;
   return Options;
 }
@@ -282,7 +290,7 @@
   runtime::Log Log;
   EventRecorder Events;
   CoreLoop Core;
-  http::Client Sender{clientOptions()};
+  http::Client Sender{clientOptions(Settings.MaxDescriptors)};
   adapter::PlatformStore Store;
   adapter::PlatformEndpoints Endpoints;
   adapter::PlatformAdvisor LocalAdvisor;
