cell: an owner that is alive but busy is not replaced

Each new owner read up to 1,100 open jobs, joined all endpoints anew and was as busy.

Cause: the answer to a probe of the owner was given by the scheduler's thread, behind everything that was queued there. With a queue longer than 0.7 s an owner at work looked like one that is dead.

Change: probes are answered by a thread of their own (ProbeResponder). The answer tells for how long the scheduler's thread has worked on its current item. The failure detector takes an owner that answers for alive, unless that time is 2 s or more (stuck). No answer or a closed connection, and an answer by another process, mean what they meant before, so a process that is killed, paused, cut off or without power is suspected as fast as before. 2 s and a takeover are shorter than what is left of the tasks' leases.

The answer to a probe is JSON now, it was the bare process id.

--- a/include/teaselwalk/cell/owner_failure_detector.hpp
+++ b/include/teaselwalk/cell/owner_failure_detector.hpp
@@ -13,8 +13,10 @@
 enum class OwnerHealth {
   Unknown, ///< The process does not watch this owner, or has no answer yet.
   Alive,
-  Suspected, ///< The latest probe had no answer.
-  Dead,      ///< Another process answers at the owner's address.
+  /// The latest probe had no answer, or its answer shows that the scheduler's
+  /// thread makes no progress.
+  Suspected,
+  Dead, ///< Another process answers at the owner's address.
 };
 
 constexpr std::array<EnumName<OwnerHealth>, 4> OwnerHealthNames = {{
@@ -24,16 +26,25 @@
     {OwnerHealth::Dead, "dead"},
 }};
 
+/// The answer of a process to a probe. It does not wait for the scheduler's
+/// thread, so a process that is alive answers however long its queue is.
+struct ProbeAnswer {
+  std::string ProcessId;
+  /// How long the scheduler's thread has worked on one item; 0 if it waits for
+  /// the next one.
+  Duration StalledFor{0};
+};
+
 /// Probes of the owner and queries about it to other processes.
 class OwnerCalls {
 public:
   virtual ~OwnerCalls() = default;
-  /// Asks the process at \p To for its id. It answers after \p Wait; the result
-  /// is empty if it does not answer within \p Slack after that or the
-  /// connection is closed.
-  virtual void identify(const protocol::Address &To, Duration Wait,
-                        Duration Slack,
-                        std::function<void(std::optional<std::string>)>) = 0;
+  /// Asks the process at \p To for its id and its progress. It answers after
+  /// \p Wait; the result is empty if it does not answer within \p Slack after
+  /// that or the connection is closed.
+  virtual void
+  identify(const protocol::Address &To, Duration Wait, Duration Slack,
+           std::function<void(std::optional<ProbeAnswer>)> Done) = 0;
   /// Asks the process at \p To for the health of the owner \p ProcessId as it
   /// observes it.
   virtual void health(const protocol::Address &To, const std::string &ProcessId,
@@ -42,7 +53,8 @@
 
 /// Failure detector for the owner. Keeps one probe in flight to it: when the
 /// owner is killed its connections close, which is noticed long before its
-/// lease expires.
+/// lease expires. An owner that answers is alive, also if it is overloaded,
+/// unless its scheduler's thread has been stuck for seconds.
 class OwnerFailureDetector {
 public:
   OwnerFailureDetector(Executor &Clock, OwnerCalls &Peers, Recorder &Log,
@@ -62,7 +74,9 @@
 
 private:
   void probe();
-  void onAnswer(const std::optional<std::string> &AnsweringId);
+  void onAnswer(const std::optional<ProbeAnswer> &Answer);
+  /// The health that \p Answer to the latest probe shows.
+  OwnerHealth judge(const std::optional<ProbeAnswer> &Answer) const;
 
   Executor &Clock;
   OwnerCalls &Peers;
--- a/src/teaselwalk/cell/owner_election_test.cpp
+++ b/src/teaselwalk/cell/owner_election_test.cpp
@@ -54,6 +54,53 @@
   EXPECT_EQ(World.ownerIndex(), First);
 }
 
+/// Answers every probe with `Next`.
+class ScriptedCalls : public OwnerCalls {
+public:
+  explicit ScriptedCalls(FakeClock &Clock) : Clock(Clock) {}
+  void identify(const protocol::Address &, Duration Wait, Duration,
+                std::function<void(std::optional<ProbeAnswer>)> Done) override {
+    Clock.after(Wait, [this, Done = std::move(Done)] { Done(Next); });
+  }
+  void health(const protocol::Address &, const std::string &,
+              std::function<void(OwnerHealth)>) override {}
+
+  std::optional<ProbeAnswer> Next;
+
+private:
+  FakeClock &Clock;
+};
+
+// Guards against a detector that takes an owner at work for a dead one, or one
+// that is stuck, silent or replaced for one that is alive.
+TEST(OwnerFailureDetectorTest, TellsABusyOwnerFromOneThatDoesNotWork) {
+  FakeClock Clock;
+  FakeRecorder Log;
+  ScriptedCalls Calls(Clock);
+  int Suspicions = 0;
+  OwnerFailureDetector Detector(Clock, Calls, Log, [&] { ++Suspicions; });
+  Calls.Next = ProbeAnswer{"p#1", Duration(0)};
+  Detector.watch("p#1", {"10.1.0.1", 1});
+  EXPECT_EQ(Detector.health("p#1"), OwnerHealth::Unknown);
+  EXPECT_EQ(Detector.health("p#2"), OwnerHealth::Unknown) << "not watched";
+  const std::vector<std::pair<std::optional<ProbeAnswer>, OwnerHealth>> Rows = {
+      {ProbeAnswer{"p#1", Duration(0)}, OwnerHealth::Alive},
+      {ProbeAnswer{"p#1", Duration(1500)}, OwnerHealth::Alive},
+      {ProbeAnswer{"p#1", Duration(2500)}, OwnerHealth::Suspected},
+      {ProbeAnswer{"p#1", Duration(10)}, OwnerHealth::Alive},
+      {std::nullopt, OwnerHealth::Suspected},
+      {ProbeAnswer{"p#2", Duration(0)}, OwnerHealth::Dead},
+      {ProbeAnswer{"p#1", Duration(0)}, OwnerHealth::Alive},
+  };
+  for (const auto &[Answer, Expected] : Rows) {
+    Suspicions = 0;
+    Calls.Next = Answer;
+    Clock.runFor(Duration(1000));
+    EXPECT_EQ(Detector.health("p#1"), Expected);
+    EXPECT_EQ(Suspicions > 0, Expected != OwnerHealth::Alive);
+  }
+}
+
 class OwnerFailureTest : public ::testing::Test {
 protected:
   void begin(int Processes) {
@@ -99,6 +146,25 @@
   EXPECT_FALSE(World.Processes[First]->Core->isOwner());
 }
 
+// Guards against an owner that is replaced while it is alive because a long
+// queue delays its answers (issue 23: four changes of the owner in 35 s of a
+// day on which no machine failed).
+TEST_F(OwnerFailureTest, ABusyOwnerIsNotReplaced) {
+  begin(6);
+  FakeProcess &Owner = *World.Processes[First];
+  for (int I = 0; I < 20; ++I) {
+    Owner.Clock.block();
+    World.Clock.runFor(Duration(900));
+    ASSERT_EQ(World.ownerIndex(), First) << "in round " << I;
+    Owner.Clock.unblock();
+    World.Clock.runFor(Duration(100));
+  }
+  int Claims = 0;
+  for (auto &Process : World.Processes)
+    Claims += Process->Log.Events[EventName::OwnerClaimed];
+  EXPECT_EQ(Claims, 1);
+}
+
 // Guards against a process that takes over from a healthy owner because it is
 // partitioned from the other processes, but not from the store.
 TEST_F(OwnerFailureTest, APartitionedProcessDoesNotTakeOver) {
--- a/src/teaselwalk/cell/owner_failure_detector.cpp
+++ b/src/teaselwalk/cell/owner_failure_detector.cpp
@@ -13,6 +13,10 @@
 constexpr Duration AnswerSlack{300};
 /// Pause after a probe that the owner did not answer.
 constexpr Duration ProbePause{100};
+/// An owner that answers, but whose scheduler's thread has worked on one item
+/// for this long, is stuck. A new owner is then ready before the leases of the
+/// tasks end, which the stuck one no longer renews.
+constexpr Duration MaxStall{2000};
 
 } // namespace
 
@@ -42,29 +46,36 @@
   bool IsUnhealthy =
       State == OwnerHealth::Suspected || State == OwnerHealth::Dead;
   Duration Wait = IsUnhealthy ? Duration(0) : AnswerDelay;
-  Peers.identify(
-      Address, Wait, AnswerSlack * Patience,
-      Alive.guard([this, ProbedIn = Generation](
-                      const std::optional<std::string> &AnsweringId) {
-        if (ProbedIn == Generation)
-          onAnswer(AnsweringId);
-      }));
+  Peers.identify(Address, Wait, AnswerSlack * Patience,
+                 Alive.guard([this, ProbedIn = Generation](
+                                 const std::optional<ProbeAnswer> &Answer) {
+                   if (ProbedIn == Generation)
+                     onAnswer(Answer);
+                 }));
 }
 
-void OwnerFailureDetector::onAnswer(
-    const std::optional<std::string> &AnsweringId) {
-  OwnerHealth Previous = State;
-  if (!AnsweringId)
-    State = OwnerHealth::Suspected;
-  else
-    State = *AnsweringId == WatchedId ? OwnerHealth::Alive : OwnerHealth::Dead;
+OwnerHealth
+OwnerFailureDetector::judge(const std::optional<ProbeAnswer> &Answer) const {
+  if (!Answer)
+    return OwnerHealth::Suspected;
+  if (Answer->ProcessId != WatchedId)
+    return OwnerHealth::Dead;
+  return Answer->StalledFor < MaxStall ? OwnerHealth::Alive
+                                       : OwnerHealth::Suspected;
+}
+
+void OwnerFailureDetector::onAnswer(const std::optional<ProbeAnswer> &Answer) {
+  OwnerHealth Previous = std::exchange(State, judge(Answer));
   if (State == OwnerHealth::Alive)
     return probe();
   if (State != Previous)
     Log.event(EventName::OwnerSuspected,
               {{"process", WatchedId},
                {"health", std::string(nameOf(OwnerHealthNames, State))},
-               {"answering", AnsweringId.value_or("")}});
+               {"answering", Answer ? Answer->ProcessId : ""},
+               {"stalled_ms",
+                std::to_string(Answer ? Answer->StalledFor.count() : 0)},
+               {"max_stall_ms", std::to_string(MaxStall.count())}});
   Clock.after(ProbePause, Alive.guard([this, ProbedIn = Generation] {
     if (ProbedIn == Generation)
       probe();
--- a/src/teaselwalk/cell/testing/fake_clock.hpp
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -43,7 +44,7 @@
 };
 
 /// The clock as seen by one process. Its work is held back while the process is
-/// paused and dropped once it is dead.
+/// paused or its scheduler's thread is blocked, and dropped once it is dead.
 class FakeProcessClock : public Executor {
 public:
   explicit FakeProcessClock(FakeClock &Shared) : Shared(Shared) {}
@@ -54,30 +55,57 @@
     Shared.after(Delay, [this, Work = std::move(Work)] { perform(Work); });
   }
 
+  /// Runs \p Work on another thread of the process than the scheduler's.
+  void afterElsewhere(Duration Delay, std::function<void()> Work) {
+    Shared.after(Delay, [this, Work = std::move(Work)] {
+      if (Paused)
+        Waiting.push_back(Work);
+      else if (!Dead)
+        Work();
+    });
+  }
+
   /// Drops all work of the process. Messages in flight to others still arrive.
   void die() { Dead = true; }
 
   void pause() { Paused = true; }
   void resume() {
     Paused = false;
-    std::vector<std::function<void()>> Late;
-    Late.swap(Waiting);
-    for (const auto &Work : Late)
-      perform(Work);
+    performLate();
+  }
+
+  /// Makes the scheduler's thread work on one item until `unblock`. The other
+  /// threads of the process go on.
+  void block() { BlockedAt = now(); }
+  void unblock() {
+    BlockedAt.reset();
+    performLate();
+  }
+
+  Duration stalledFor() const {
+    return BlockedAt ? now() - *BlockedAt : Duration(0);
   }
 
 private:
   void perform(const std::function<void()> &Work) {
     if (Dead)
       return;
-    if (Paused)
+    if (Paused || BlockedAt)
       Waiting.push_back(Work);
     else
       Work();
   }
 
+  void performLate() {
+    std::vector<std::function<void()>> Late;
+    Late.swap(Waiting);
+    for (const auto &Work : Late)
+      perform(Work);
+  }
+
   FakeClock &Shared;
   bool Paused = false;
+  std::optional<TimePoint> BlockedAt;
   std::vector<std::function<void()>> Waiting;
   bool Dead = false;
 };
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -30,7 +30,7 @@
   void pending(const protocol::Address &To, const std::string &Queue,
                std::function<void(PendingQueryResult)> Done) override;
   void identify(const protocol::Address &To, Duration Wait, Duration Slack,
-                std::function<void(std::optional<std::string>)> Done) override;
+                std::function<void(std::optional<ProbeAnswer>)> Done) override;
   void health(const protocol::Address &To, const std::string &Process,
               std::function<void(OwnerHealth)> Done) override;
 
@@ -265,20 +265,22 @@
 
 inline void
 FakePeers::identify(const protocol::Address &To, Duration Wait, Duration Slack,
-                    std::function<void(std::optional<std::string>)> Done) {
+                    std::function<void(std::optional<ProbeAnswer>)> Done) {
   auto IsAnswered = std::make_shared<bool>(false);
   auto Finish = [this, Done,
-                 IsAnswered](const std::optional<std::string> &Process) {
+                 IsAnswered](const std::optional<ProbeAnswer> &Answer) {
     if (!std::exchange(*IsAnswered, true))
-      Own.after(Latency, [Done, Process] { Done(Process); });
+      Own.after(Latency, [Done, Answer] { Done(Answer); });
   };
   Own.after(Wait + Slack, [Finish] { Finish(std::nullopt); });
   World.Clock.after(Latency, [this, To, Wait, Finish] {
     FakeProcess *Other = reachable(To);
     if (Other != nullptr) {
       World.OpenProbes.emplace(Other, [Finish] { Finish(std::nullopt); });
-      Other->Clock.after(Wait,
-                         [Other, Finish] { Finish(Other->Core->processId()); });
+      Other->Clock.afterElsewhere(Wait, [Other, Finish] {
+        Finish(
+            ProbeAnswer{Other->Core->processId(), Other->Clock.stalledFor()});
+      });
     } else if (!IsPartitioned) // The connection is refused at once.
       Finish(std::nullopt);
   });
--- a/src/teaselwalk/node/core_loop.cpp
+++ b/src/teaselwalk/node/core_loop.cpp
@@ -51,6 +51,11 @@
   return Ring.tryPush({std::move(Work), now()});
 }
 
+Duration CoreLoop::stalledFor() const {
+  int64_t StartedMs = ItemStartedMs;
+  return StartedMs == 0 ? Duration(0) : now() - timeAt(StartedMs);
+}
+
 void CoreLoop::run() {
   while (!Ring.closed()) {
     Duration Sleep = MaxSleep;
@@ -85,6 +90,7 @@
 }
 
 void CoreLoop::invoke(const std::function<void()> &Work) {
+  ItemStartedMs = now().time_since_epoch().count();
   try {
     Work();
   } catch (const std::exception &Failure) {
@@ -92,6 +98,7 @@
     runtime::logEvent(runtime::Level::Error, EventName::ThreadFailed,
                       {{"duty", "core"}, {"reason", Failure.what()}});
   }
+  ItemStartedMs = 0;
 }
 
 } // namespace teaselwalk::node
--- a/src/teaselwalk/node/core_loop.hpp
+++ b/src/teaselwalk/node/core_loop.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/runtime/bounded_ring.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <queue>
@@ -45,6 +46,10 @@
   /// Items that are queued now. Thread-safe.
   size_t queueLength() const { return Ring.size(); }
 
+  /// How long the loop has worked on its current item or timer; 0 while it
+  /// waits for the next one. Thread-safe.
+  Duration stalledFor() const;
+
   /// Runs until `stop()`. Work that is still queued then is dropped.
   void run();
   void stop() { Ring.close(); }
@@ -78,6 +83,9 @@
   std::priority_queue<Timer> Timers;
   uint64_t NextSequence = 0;
   CoreLoad Load;
+  /// When the current item or timer began, in ms on the clock of `now()`; 0:
+  /// none runs.
+  std::atomic<int64_t> ItemStartedMs{0};
 };
 
 } // namespace teaselwalk::node
--- a/src/teaselwalk/node/http_peer_calls.cpp
+++ b/src/teaselwalk/node/http_peer_calls.cpp
@@ -63,17 +63,15 @@
 
 void HttpPeerCalls::identify(
     const protocol::Address &To, Duration Wait, Duration Slack,
-    std::function<void(std::optional<std::string>)> Done) {
+    std::function<void(std::optional<cell::ProbeAnswer>)> Done) {
   Sender.send(To,
               {"GET", std::string(IdentifyPath) +
                           "?wait_ms=" + std::to_string(Wait.count())},
               Wait + Slack,
               [this, Done = std::move(Done)](const http::Result &Answer) {
-                std::optional<std::string> Process;
-                if (Answer.State == protocol::Delivery::Answered &&
-                    Answer.Message.Status == 200)
-                  Process = Answer.Message.Body;
-                Core.post([Done, Process] { Done(Process); });
+                auto Found = decodeBody<std::optional<cell::ProbeAnswer>>(
+                    Answer, decodeProbeAnswer);
+                Core.post([Done, Found] { Done(Found); });
               });
 }
 
--- a/src/teaselwalk/node/http_peer_calls.hpp
+++ b/src/teaselwalk/node/http_peer_calls.hpp
@@ -21,8 +21,9 @@
            std::function<void(cell::JobQueryResult)> Done) override;
   void pending(const protocol::Address &To, const std::string &Queue,
                std::function<void(cell::PendingQueryResult)> Done) override;
-  void identify(const protocol::Address &To, Duration Wait, Duration Slack,
-                std::function<void(std::optional<std::string>)> Done) override;
+  void
+  identify(const protocol::Address &To, Duration Wait, Duration Slack,
+           std::function<void(std::optional<cell::ProbeAnswer>)> Done) override;
   void health(const protocol::Address &To, const std::string &Process,
               std::function<void(cell::OwnerHealth)> Done) override;
   /// Has the process at \p To ask the advisory service.
--- a/src/teaselwalk/node/peer_protocol.cpp
+++ b/src/teaselwalk/node/peer_protocol.cpp
@@ -39,6 +39,12 @@
   return Json{{"health", nameOf(cell::OwnerHealthNames, Health)}}.dump();
 }
 
+std::string encode(const cell::ProbeAnswer &Answer) {
+  return Json{{"process", Answer.ProcessId},
+              {"stalled_ms", Answer.StalledFor.count()}}
+      .dump();
+}
+
 std::string encode(const ForwardedAdviceRequest &Request) {
   Json Candidates = Json::array();
   for (const EndpointId &Id : Request.Candidates)
@@ -89,6 +95,13 @@
   });
 }
 
+cell::ProbeAnswer decodeProbeAnswer(const std::string &Text) {
+  return decodeWith(Text, [](const Json &Body) {
+    return cell::ProbeAnswer{Body.at("process"),
+                             Duration(Body.at("stalled_ms").get<int64_t>())};
+  });
+}
+
 ForwardedAdviceRequest decodeForwardedAdviceRequest(const std::string &Text) {
   return decodeWith(Text, [](const Json &Body) {
     ForwardedAdviceRequest Request;
--- a/src/teaselwalk/node/peer_protocol.hpp
+++ b/src/teaselwalk/node/peer_protocol.hpp
@@ -6,8 +6,7 @@
 #include <string>
 #include <vector>
 
-/// Messages between entry processes: HTTP with JSON bodies. Only the answer to
-/// `IdentifyPath` is plain text, the id of the process.
+/// Messages between entry processes: HTTP with JSON bodies.
 namespace teaselwalk::node {
 
 constexpr const char *JobPath = "/peer/job";
@@ -26,6 +25,7 @@
 std::string encode(const cell::JobQueryResult &Answer);
 std::string encode(const cell::PendingQueryResult &Answer);
 std::string encode(cell::OwnerHealth Health);
+std::string encode(const cell::ProbeAnswer &Answer);
 std::string encode(const ForwardedAdviceRequest &Request);
 std::string encode(const cell::Advice &Answer);
 
@@ -35,6 +35,7 @@
 cell::JobQueryResult decodeJobAnswer(const std::string &Text);
 cell::PendingQueryResult decodePendingAnswer(const std::string &Text);
 cell::OwnerHealth decodeHealth(const std::string &Text);
+cell::ProbeAnswer decodeProbeAnswer(const std::string &Text);
 ForwardedAdviceRequest decodeForwardedAdviceRequest(const std::string &Text);
 cell::Advice decodeAdvice(const std::string &Text);
 
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -2,6 +2,7 @@
 
 #include "core_loop.hpp"
 #include "http_peer_calls.hpp"
+#include "probe_responder.hpp"
 #include "recorder.hpp"
 
 #include "platform/advisor.hpp"
@@ -40,10 +41,6 @@
 /// ownership. Spreads the claims so that the processes do not compete at once.
 constexpr int MaxClaimDelayMs = 60;
 
-/// Longest delay that another process may request for the answer to its probe
-/// of this one.
-constexpr Duration MaxIdentifyDelay{1000};
-
 /// The process is not ready if the scheduler last reported readiness this long
 /// ago, as when its thread is blocked.
 constexpr Duration MaxReadinessAge{1000};
@@ -100,6 +97,7 @@
         AdvisoryService(LocalAdvisor, Peers),
         Scheduler({Core, Store, Endpoints, AdvisoryService, Peers, Events},
                   schedulerOptions()),
+        OwnerProbes(Scheduler.processId(), Core),
         CallerServer(
             serverOptions(Given.Callers, Given.MaxDescriptors),
             [this](const http::Request &Message, const http::Responder &To) {
@@ -122,6 +120,7 @@
                        {"peer_port", Given.Peers.Port}});
     startThread("client", Sender);
     Threads.start("core", {[this] { Core.run(); }, [this] { Core.stop(); }});
+    startThread("owner-probes", OwnerProbes);
     startThread("peers", PeerServer);
     startThread("probes", ReadinessServer);
     startThread("callers", CallerServer);
@@ -236,22 +235,22 @@
     std::string Path = http::pathOf(Message);
     if (Path == "/metrics")
       return To.send({200, Registry.render(), "text/plain"});
+    if (Path == IdentifyPath)
+      return answerIdentify(Message, To);
     bool IsQueued = Core.tryPost(
         [this, Message, To, Path] { dispatchPeer(Path, Message, To); });
     if (!IsQueued)
       To.send({503, "{}"});
   }
 
-  /// Answers with the id of this process, after the delay that the request
-  /// names.
+  /// Answers a probe, after the delay that it names.
   void answerIdentify(const http::Request &Message, const http::Responder &To) {
     int64_t Wait = 0;
     std::string Text = http::queryOf(Message, "wait_ms").value_or("0");
     std::from_chars(Text.data(), Text.data() + Text.size(), Wait);
-    Core.after(std::clamp(Duration(Wait), Duration(0), MaxIdentifyDelay),
-               [this, To] {
-                 To.send({200, Scheduler.processId(), "text/plain"});
-               });
+    OwnerProbes.answer(Duration(Wait), [To](const cell::ProbeAnswer &Answer) {
+      To.send({200, encode(Answer)});
+    });
   }
 
   /// Answers a request of another process, on the thread of `Core`.
@@ -267,8 +266,6 @@
       return To.send(
           {200, encode(Scheduler.ownerHealth(
                     http::queryOf(Message, "process").value_or("")))});
-    if (Path == IdentifyPath)
-      return answerIdentify(Message, To);
     if (Path != AdvicePath)
       return To.send({404, "{}"});
     try {
@@ -297,6 +294,7 @@
   HttpPeerCalls Peers;
   AdviceRouter AdvisoryService;
   cell::SchedulerCore Scheduler;
+  ProbeResponder OwnerProbes;
   std::atomic<bool> Draining{false};
   /// When the scheduler last reported readiness, on the clock of `Core`; 0 if
   /// it reported that it is not ready.
