node: the core serves what keeps the ownership alive in a lane of its own

Cause: the core had one queue. An answer of the store, such as that to the renewal of the owner's lease, waited behind thousands of answers of endpoints, and all due timers ran before the next item. A lane full of endpoint answers also refused the queries of other processes.

Change: CoreLoop has a control lane and a bulk lane, each with a bounded ring and timers of its own. BoundedRing::wake lets the loop wait at one ring only.

--- a/include/teaselwalk/runtime/bounded_ring.hpp
+++ b/include/teaselwalk/runtime/bounded_ring.hpp
@@ -51,15 +51,27 @@
   bool tryPush(const T &Value) { return tryPush(T(Value)); }
 
   /// Waits until \p Deadline for an element. Returns nothing at the deadline,
-  /// or when the ring is closed and empty.
+  /// after `wake()`, or when the ring is closed and empty.
   std::optional<T> popUntil(Clock::time_point Deadline) {
     std::unique_lock<std::mutex> Lock(Mutex);
     ConsumerWaits = true;
-    NotEmpty.wait_until(Lock, Deadline, [&] { return Count > 0 || Closed; });
+    NotEmpty.wait_until(Lock, Deadline,
+                        [&] { return Count > 0 || Closed || Woken; });
     ConsumerWaits = false;
+    Woken = false;
     return take();
   }
 
+  /// Ends the wait of `popUntil` without an element, or the next wait if the
+  /// consumer does not wait now.
+  void wake() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Woken = true;
+    }
+    NotEmpty.notify_one();
+  }
+
   /// Waits for an element without a time limit. Returns nothing when the ring
   /// is closed and empty.
   std::optional<T> pop() {
@@ -123,6 +135,7 @@
   uint64_t Refused = 0;
   bool Closed = false;
   bool ConsumerWaits = false;
+  bool Woken = false;
 };
 
 } // namespace teaselwalk::runtime
--- a/src/teaselwalk/node/core_loop.cpp
+++ b/src/teaselwalk/node/core_loop.cpp
@@ -13,9 +13,6 @@
 constexpr Duration MaxSleep{1000};
 /// Between two attempts to push into a full ring.
 constexpr std::chrono::milliseconds RetryInterval{1};
-/// Due timers run after at most this many queued items plus one, also while the
-/// ring stays full.
-constexpr size_t MaxItemsPerRound = 64;
 
 } // namespace
 
@@ -31,24 +28,38 @@
 int64_t CoreLoop::wallMillis() const { return runtime::wallMillis(); }
 
 void CoreLoop::after(Duration Delay, std::function<void()> Work) {
-  Timers.push({now() + Delay, NextSequence++, std::move(Work)});
+  addTimer(Bulk, Delay, std::move(Work));
 }
 
-bool CoreLoop::post(std::function<void()> Work) {
+void CoreLoop::addTimer(Queue &To, Duration Delay, std::function<void()> Work) {
+  To.Timers.push({now() + Delay, NextSequence++, std::move(Work)});
+}
+
+bool CoreLoop::post(std::function<void()> Work, Lane To) {
+  Queue &Target = queueOf(To);
   Item Next{std::move(Work), now()};
   // A push that fails does not move from the item.
-  while (!Ring.tryPush(std::move(Next))) { // NOLINT(bugprone-use-after-move)
-    if (Ring.closed())
+  // NOLINTNEXTLINE(bugprone-use-after-move)
+  while (!Target.Ring.tryPush(std::move(Next))) {
+    if (Target.Ring.closed())
       return false;
     std::this_thread::sleep_for(RetryInterval);
   }
+  // The loop waits at the ring of the bulk lane.
+  if (To == Lane::Control)
+    Bulk.Ring.wake();
   return true;
 }
 
-bool CoreLoop::tryPost(std::function<void()> Work) {
-  if (Ring.size() >= RingCapacity - ReservedForAnswers)
+bool CoreLoop::tryPost(std::function<void()> Work, Lane To) {
+  Queue &Target = queueOf(To);
+  if (Target.Ring.size() >= Target.Ring.capacity() - Target.ReservedForAnswers)
+    return false;
+  if (!Target.Ring.tryPush({std::move(Work), now()}))
     return false;
-  return Ring.tryPush({std::move(Work), now()});
+  if (To == Lane::Control)
+    Bulk.Ring.wake();
+  return true;
 }
 
 Duration CoreLoop::stalledFor() const {
@@ -57,36 +68,56 @@
 }
 
 void CoreLoop::run() {
-  while (!Ring.closed()) {
-    Duration Sleep = MaxSleep;
-    if (!Timers.empty())
-      Sleep = std::clamp(Timers.top().At - now(), Duration(0), MaxSleep);
-    auto Next = Ring.popUntil(std::chrono::steady_clock::now() + Sleep);
-    for (size_t Done = 0; Next && Done < MaxItemsPerRound; ++Done) {
-      runItem(*Next);
-      Next = Ring.tryPop();
-    }
-    if (Next)
-      runItem(*Next);
-    runTimers();
+  while (!Bulk.Ring.closed()) {
+    bool HasServed = serve(Control);
+    HasServed |= serve(Bulk);
+    if (!HasServed)
+      wait();
   }
 }
 
-void CoreLoop::runItem(const Item &Next) {
-  ++Load.Items;
-  Load.MaxQueueTime = std::max(Load.MaxQueueTime, now() - Next.PostedAt);
-  invoke(Next.Work);
+void CoreLoop::stop() {
+  Control.Ring.close();
+  Bulk.Ring.close();
 }
 
-void CoreLoop::runTimers() {
+bool CoreLoop::serve(Queue &From) {
   TimePoint Now = now();
-  while (!Timers.empty() && Timers.top().At <= Now) {
-    std::function<void()> Work = Timers.top().Work;
+  size_t Timers = 0;
+  for (; Timers < From.PerRound && !From.Timers.empty() &&
+         From.Timers.top().At <= Now;
+       ++Timers) {
+    std::function<void()> Work = From.Timers.top().Work;
     ++Load.Items;
-    Load.MaxTimerDelay = std::max(Load.MaxTimerDelay, Now - Timers.top().At);
-    Timers.pop();
+    Load.MaxTimerDelay =
+        std::max(Load.MaxTimerDelay, Now - From.Timers.top().At);
+    From.Timers.pop();
     invoke(Work);
   }
+  size_t Items = 0;
+  for (; Items < From.PerRound; ++Items) {
+    auto Next = From.Ring.tryPop();
+    if (!Next)
+      break;
+    runItem(*Next);
+  }
+  return Timers + Items > 0;
+}
+
+void CoreLoop::wait() {
+  Duration Sleep = MaxSleep;
+  for (const Queue *Each : {&Control, &Bulk})
+    if (!Each->Timers.empty())
+      Sleep = std::min(Sleep, Each->Timers.top().At - now());
+  auto Next = Bulk.Ring.popUntil(std::chrono::steady_clock::now() + Sleep);
+  if (Next)
+    runItem(*Next);
+}
+
+void CoreLoop::runItem(const Item &Next) {
+  ++Load.Items;
+  Load.MaxQueueTime = std::max(Load.MaxQueueTime, now() - Next.PostedAt);
+  invoke(Next.Work);
 }
 
 void CoreLoop::invoke(const std::function<void()> &Work) {
--- a/src/teaselwalk/runtime/bounded_ring_test.cpp
+++ b/src/teaselwalk/runtime/bounded_ring_test.cpp
@@ -48,6 +48,24 @@
   EXPECT_TRUE(Ring.tryPush(std::move(Third)));
 }
 
+// Guards against a wake-up that is lost because the consumer does not wait yet,
+// and against one that takes effect twice.
+TEST(BoundedRingTest, WakeEndsOneWait) {
+  BoundedRing<int> Ring(2);
+  const Clock::time_point Late = Clock::now() + std::chrono::hours(1);
+  Ring.wake();
+  EXPECT_FALSE(Ring.popUntil(Late));
+  std::thread Waker([&] { Ring.wake(); });
+  EXPECT_FALSE(Ring.popUntil(Late));
+  Waker.join();
+  EXPECT_LT(Clock::now(), Late);
+  Ring.wake();
+  EXPECT_FALSE(Ring.popUntil(Late));
+  const Clock::time_point Soon = Clock::now() + std::chrono::milliseconds(2);
+  EXPECT_FALSE(Ring.popUntil(Soon));
+  EXPECT_GE(Clock::now(), Soon) << "the wake-up took effect twice";
+}
+
 // Guards against a consumer that waits beyond its deadline or forever.
 TEST(BoundedRingTest, PopEndsAtDeadlineAndAtClose) {
   BoundedRing<int> Ring(2);
