node: lease renewals and probes do not wait for work with endpoints

Cause: one HTTP client served the store, the owner's probes, endpoints, the advisory service and queries of callers. With 24 connections to a process, a probe waited for one of them behind status queries, and could time out before it was sent. The renewal of the owner's lease waited behind the sockets, the answers and the timers of a thousand endpoints.

Change: the store and the calls about the owner's health have an HTTP client and thread of their own, and their answers use the control lane of the core. The timers of the election, the registration, the configuration's mirror and the published readiness use that lane too (Dependencies::ControlClock). Requests for the owner's health are served there as well.

--- a/include/teaselwalk/cell/scheduler_core.hpp
+++ b/include/teaselwalk/cell/scheduler_core.hpp
@@ -25,6 +25,9 @@
 /// The interfaces that a `SchedulerCore` works with. They must outlive it.
 struct Dependencies {
   Executor &Clock;
+  /// The same clock for the timers of what keeps the process registered and the
+  /// ownership alive. They do not wait for a backlog of timers of `Clock`.
+  Executor &ControlClock;
   Store &Storage;
   EndpointCalls &Endpoints;
   Advisor &AdvisoryService;
--- a/src/teaselwalk/cell/owner_election_test.cpp
+++ b/src/teaselwalk/cell/owner_election_test.cpp
@@ -165,6 +165,19 @@
   EXPECT_EQ(Claims, 1);
 }
 
+// Guards against an owner that loses its lease because the renewal waits behind
+// the timers of a thousand endpoints.
+TEST_F(OwnerFailureTest, ABacklogOfEndpointWorkDoesNotEndTheOwnership) {
+  begin(6);
+  FakeProcess &Owner = *World.Processes[First];
+  Owner.Clock.beginBacklog();
+  World.Clock.runFor(Duration(10000));
+  EXPECT_EQ(World.ownerIndex(), First);
+  Owner.Clock.endBacklog();
+  World.Clock.runFor(Duration(1000));
+  EXPECT_EQ(World.ownerIndex(), First);
+}
+
 // Guards against a process that takes over from a healthy owner because it is
 // partitioned from the other processes, but not from the store.
 TEST_F(OwnerFailureTest, APartitionedProcessDoesNotTakeOver) {
--- a/src/teaselwalk/cell/testing/fake_clock.hpp
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -55,6 +55,9 @@
     Shared.after(Delay, [this, Work = std::move(Work)] { perform(Work); });
   }
 
+  /// The clock whose work does not wait for a backlog.
+  Executor &control() { return Control; }
+
   /// Runs \p Work on another thread of the process than the scheduler's.
   void afterElsewhere(Duration Delay, std::function<void()> Work) {
     Shared.after(Delay, [this, Work = std::move(Work)] {
@@ -86,8 +89,41 @@
     return BlockedAt ? now() - *BlockedAt : Duration(0);
   }
 
+  /// Makes all work but that of `control()` wait until `endBacklog`, as behind
+  /// a long queue.
+  void beginBacklog() { HasBacklog = true; }
+  void endBacklog() {
+    HasBacklog = false;
+    std::vector<std::function<void()>> Late;
+    Late.swap(Queued);
+    for (const auto &Work : Late)
+      perform(Work);
+  }
+
 private:
+  class ControlClock : public Executor {
+  public:
+    explicit ControlClock(FakeProcessClock &Owner) : Owner(Owner) {}
+    TimePoint now() const override { return Owner.now(); }
+    int64_t wallMillis() const override { return Owner.wallMillis(); }
+    void after(Duration Delay, std::function<void()> Work) override {
+      Owner.Shared.after(Delay, [this, Work = std::move(Work)] {
+        Owner.performControl(Work);
+      });
+    }
+
+  private:
+    FakeProcessClock &Owner;
+  };
+
   void perform(const std::function<void()> &Work) {
+    if (HasBacklog && !Dead)
+      Queued.push_back(Work);
+    else
+      performControl(Work);
+  }
+
+  void performControl(const std::function<void()> &Work) {
     if (Dead)
       return;
     if (Paused || BlockedAt)
@@ -100,14 +136,17 @@
     std::vector<std::function<void()>> Late;
     Late.swap(Waiting);
     for (const auto &Work : Late)
-      perform(Work);
+      performControl(Work);
   }
 
   FakeClock &Shared;
   bool Paused = false;
   std::optional<TimePoint> BlockedAt;
   std::vector<std::function<void()>> Waiting;
+  bool HasBacklog = false;
+  std::vector<std::function<void()>> Queued;
   bool Dead = false;
+  ControlClock Control{*this};
 };
 
 /// Counts events and counters by name; keeps the log lines only on demand.
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -297,9 +297,9 @@
 }
 
 inline FakeProcess::FakeProcess(FakeWorld &World, int Number)
-    : Clock(World.Clock), Store(World.Clock, Clock, World.Store),
+    : Clock(World.Clock), Store(World.Clock, Clock.control(), World.Store),
       Endpoints(World.Clock, Clock, World.Cluster),
-      AdvisoryService(World.Advisory, Clock), Peers(World, Clock) {
+      AdvisoryService(World.Advisory, Clock), Peers(World, Clock.control()) {
   SchedulerCoreOptions Options;
   Options.VmName = "p" + std::to_string(Number);
   Options.ProcessId = Options.VmName + "#" + std::to_string(Number);
@@ -336,7 +336,8 @@
     return World.Cluster.Jobs.at(JobId(Body));
   };
   Core = std::make_unique<SchedulerCore>(
-      Dependencies{Clock, Store, Endpoints, AdvisoryService, Peers, Log},
+      Dependencies{Clock, Clock.control(), Store, Endpoints, AdvisoryService,
+                   Peers, Log},
       std::move(Options));
 }
 
--- a/src/teaselwalk/node/http_peer_calls.cpp
+++ b/src/teaselwalk/node/http_peer_calls.cpp
@@ -64,29 +64,29 @@
 void HttpPeerCalls::identify(
     const protocol::Address &To, Duration Wait, Duration Slack,
     std::function<void(std::optional<cell::ProbeAnswer>)> Done) {
-  Sender.send(To,
-              {"GET", std::string(IdentifyPath) +
-                          "?wait_ms=" + std::to_string(Wait.count())},
-              Wait + Slack,
-              [this, Done = std::move(Done)](const http::Result &Answer) {
-                auto Found = decodeBody<std::optional<cell::ProbeAnswer>>(
-                    Answer, decodeProbeAnswer);
-                Core.post([Done, Found] { Done(Found); });
-              });
+  ControlSender.send(
+      To,
+      {"GET",
+       std::string(IdentifyPath) + "?wait_ms=" + std::to_string(Wait.count())},
+      Wait + Slack, [this, Done = std::move(Done)](const http::Result &Answer) {
+        auto Found = decodeBody<std::optional<cell::ProbeAnswer>>(
+            Answer, decodeProbeAnswer);
+        Core.post([Done, Found] { Done(Found); }, Lane::Control);
+      });
 }
 
 void HttpPeerCalls::health(const protocol::Address &To,
                            const std::string &Process,
                            std::function<void(cell::OwnerHealth)> Done) {
-  Sender.send(To,
-              {"GET", std::string(HealthPath) +
-                          "?process=" + http::percentEncode(Process)},
-              HealthTimeout,
-              [this, Done = std::move(Done)](const http::Result &Answer) {
-                auto Found =
-                    decodeBody<cell::OwnerHealth>(Answer, decodeHealth);
-                Core.post([Done, Found] { Done(Found); });
-              });
+  ControlSender.send(
+      To,
+      {"GET",
+       std::string(HealthPath) + "?process=" + http::percentEncode(Process)},
+      HealthTimeout,
+      [this, Done = std::move(Done)](const http::Result &Answer) {
+        auto Found = decodeBody<cell::OwnerHealth>(Answer, decodeHealth);
+        Core.post([Done, Found] { Done(Found); }, Lane::Control);
+      });
 }
 
 void HttpPeerCalls::forwardAdvice(const protocol::Address &To,
--- a/src/teaselwalk/node/http_peer_calls.hpp
+++ b/src/teaselwalk/node/http_peer_calls.hpp
@@ -11,11 +11,14 @@
 namespace teaselwalk::node {
 
 /// Client of the other entry processes, over HTTP. Every callback runs on the
-/// thread of `Core`, also if the other process does not answer.
+/// thread of `Core`, also if the other process does not answer. Calls about the
+/// owner's health use connections, a thread and a lane of `Core` of their own,
+/// so that they do not wait for queries on behalf of callers.
 class HttpPeerCalls : public cell::PeerCalls {
 public:
-  HttpPeerCalls(http::Client &Sender, CoreLoop &Core)
-      : Sender(Sender), Core(Core) {}
+  HttpPeerCalls(http::Client &ControlSender, http::Client &Sender,
+                CoreLoop &Core)
+      : ControlSender(ControlSender), Sender(Sender), Core(Core) {}
 
   void job(const protocol::Address &To, const JobId &Id,
            std::function<void(cell::JobQueryResult)> Done) override;
@@ -32,6 +35,7 @@
                      std::function<void(cell::Advice)> Done);
 
 private:
+  http::Client &ControlSender;
   http::Client &Sender;
   CoreLoop &Core;
 };
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -91,11 +91,13 @@
 public:
   explicit Impl(const NodeSettings &Given)
       : Settings(Given), Log(Threads, logOptions()), Events(Registry),
-        Store(Sender, Given.Store, corePoster()),
-        Endpoints(Sender, corePoster()),
-        LocalAdvisor(Sender, Given.Advisor, corePoster()), Peers(Sender, Core),
+        Store(ControlSender, Given.Store, corePoster(Lane::Control)),
+        Endpoints(Sender, corePoster(Lane::Bulk)),
+        LocalAdvisor(Sender, Given.Advisor, corePoster(Lane::Bulk)),
+        Peers(ControlSender, Sender, Core),
         AdvisoryService(LocalAdvisor, Peers),
-        Scheduler({Core, Store, Endpoints, AdvisoryService, Peers, Events},
+        Scheduler({Core, Core.control(), Store, Endpoints, AdvisoryService,
+                   Peers, Events},
                   schedulerOptions()),
         OwnerProbes(Scheduler.processId(), Core),
         CallerServer(
@@ -118,6 +120,7 @@
                        {"data_centre", Given.DataCentre},
                        {"callers_port", Given.Callers.Port},
                        {"peer_port", Given.Peers.Port}});
+    startThread("control-client", ControlSender);
     startThread("client", Sender);
     Threads.start("core", {[this] { Core.run(); }, [this] { Core.stop(); }});
     startThread("owner-probes", OwnerProbes);
@@ -138,7 +141,7 @@
     runtime::logEvent(runtime::Level::Info, EventName::ProcessStopping,
                       {{"limit_ms", Limit.count()}});
     Draining = true;
-    Core.post([this] { Scheduler.stop(); });
+    Core.post([this] { Scheduler.stop(); }, Lane::Control);
     std::this_thread::sleep_for(std::min(UnreadyNoticeTime, Limit));
     CallerServer.stopAccepting();
     while (CallerServer.pending() > 0 && std::chrono::steady_clock::now() < End)
@@ -157,9 +160,11 @@
   }
 
   /// Returns a function that queues answers of the platform's services on
-  /// `Core`.
-  adapter::Post corePoster() {
-    return [this](std::function<void()> Work) { Core.post(std::move(Work)); };
+  /// \p To of `Core`.
+  adapter::Post corePoster(Lane To) {
+    return [this, To](std::function<void()> Work) {
+      Core.post(std::move(Work), To);
+    };
   }
 
   cell::SchedulerCoreOptions schedulerOptions() {
@@ -185,7 +190,8 @@
   /// Stores the readiness of the scheduler for the thread that answers probes.
   void publishReadiness() {
     ReadyAtMs = Scheduler.isReady() ? Core.now().time_since_epoch().count() : 0;
-    Core.after(ReadinessPublishInterval, [this] { publishReadiness(); });
+    Core.control().after(ReadinessPublishInterval,
+                         [this] { publishReadiness(); });
   }
 
   /// Logs how far the scheduler was behind in the last interval and what it
@@ -238,7 +244,8 @@
     if (Path == IdentifyPath)
       return answerIdentify(Message, To);
     bool IsQueued = Core.tryPost(
-        [this, Message, To, Path] { dispatchPeer(Path, Message, To); });
+        [this, Message, To, Path] { dispatchPeer(Path, Message, To); },
+        Path == HealthPath ? Lane::Control : Lane::Bulk);
     if (!IsQueued)
       To.send({503, "{}"});
   }
@@ -287,6 +294,9 @@
   runtime::Log Log;
   EventRecorder Events;
   CoreLoop Core;
+  /// For the store and the health of the owner.
+  http::Client ControlSender{clientOptions(Settings.MaxDescriptors)};
+  /// For endpoints, the advisory service and queries of callers.
   http::Client Sender{clientOptions(Settings.MaxDescriptors)};
   adapter::PlatformStore Store;
   adapter::PlatformEndpoints Endpoints;
