cell: a burst does not make the owner lose its own starts

Cause, by the counts of a model in virtual time (one process whose work takes processor time, 70% busy, 3.3 times that for 4 s): a pass placed all that waited, so thousands of starts were on their way at once and their answers were handled after the time-out of 800 ms. 1,993 starts counted as lost, each endpoint concerned got a higher token and an extra renewal, 936 tasks were released because the fenced request no longer could start and 658 because their endpoint's token was not confirmed yet; they were stored and placed again. The process also lost its ownership to its own lateness.

Change: StartWindow limits the placed tasks whose start is not answered. The rest waits in the backlog, most urgent first.

The fake endpoints now count an answer as lost that the process handles after the client's time-out, and a fake process can take processor time for its work.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -9,6 +9,7 @@
 #include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
+#include "teaselwalk/cell/start_window.hpp"
 #include "teaselwalk/cell/store_mirror.hpp"
 #include "teaselwalk/cell/team_rates.hpp"
 
@@ -205,6 +206,10 @@
   void onStartAnswer(const TaskKey &Key, int64_t Attempt,
                      const EndpointId &AssignedTo, int64_t Token,
                      const EndpointResult &Result);
+  /// True if no task may be placed until an open start is answered.
+  bool isStartLimitReached();
+  /// Records that the start of \p Attempt, sent at \p Sent, has an answer.
+  void closeStart(const TaskKey &Key, int64_t Attempt, TimePoint Sent);
   void sendStop(const TaskKey &Key, TaskProgress &Task);
   void stopAllRuns(JobProgress &Job);
   /// Stops the other runs of a gang.
@@ -346,6 +351,10 @@
   int ContactsThen = 0;       ///< First renewals that are due at that time.
   bool IsLoaded = false;
   bool IsPassRequested = false;
+  StartWindow Window; ///< Limits the size of `OpenStarts`.
+  /// Placed tasks whose start is not answered yet; it may not be sent yet.
+  std::unordered_set<TaskKey> OpenStarts;
+  bool AreTasksHeldBack = false; ///< The latest pass has reached the limit.
   PassState Pass;
   Duration LastPassTime{0};
   TimePoint RemovedAt; ///< When records were last removed.
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -131,11 +131,13 @@
   std::vector<BacklogStep> Steps = collectBacklog();
   Log.count("scheduling_passes");
   Log.count("steps_considered", static_cast<int64_t>(Steps.size()));
-  // A placement that may not be followed by a start would be given back after
-  // it is stored, and made again.
-  if (isDesiredStateFresh())
-    for (const BacklogStep &Next : Steps)
-      placeStep(Next);
+  for (const BacklogStep &Next : Steps) {
+    // A placement that may not be followed by a start would be given back after
+    // it is stored, and made again.
+    if (!isDesiredStateFresh() || isStartLimitReached())
+      break;
+    placeStep(Next);
+  }
   Pass = {};
   writeChanged();
 }
@@ -158,7 +160,7 @@
     TaskProgress &Task = State.Tasks[T];
     if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
       continue;
-    if (!fitsTeamLimit(Job, Step.Need))
+    if (!fitsTeamLimit(Job, Step.Need) || isStartLimitReached())
       break;
     TrackedEndpoint *Endpoint = chooseEndpoint(Job, Step, Next.Key, Advice);
     if (Endpoint == nullptr) {
@@ -170,6 +172,7 @@
     Job.assign(State, Task, Endpoint->Info.Id, Task.Attempt + 1);
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
+    OpenStarts.insert(Key);
     reserveResources(*Endpoint, Job, Key);
     ++Placed;
     Places += (Places.empty() ? "" : ",") + std::to_string(T) + "@" +
@@ -234,6 +237,7 @@
     Task.Checkpoint = Checkpoint;
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
+    OpenStarts.insert(Key);
   }
   markChanged(Job);
   Log.event(EventName::GangReserved,
@@ -368,6 +372,7 @@
 
 void Owner::freeResources(const JobProgress &Job, const TaskKey &Key,
                           const EndpointId &AssignedTo) {
+  OpenStarts.erase(Key);
   auto Found = Table.find(AssignedTo);
   if (Found == Table.end() || Found->second.Tasks.erase(Key) == 0)
     return;
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -116,11 +116,32 @@
   Endpoints.start(
       Endpoint.Info, Request,
       guarded([this, Key, Attempt = Task.Attempt, AssignedTo = Task.AssignedTo,
-               Token = Request.FencingToken](const EndpointResult &Result) {
+               Token = Request.FencingToken,
+               Now](const EndpointResult &Result) {
+        closeStart(Key, Attempt, Now);
         onStartAnswer(Key, Attempt, AssignedTo, Token, Result);
       }));
 }
 
+bool Owner::isStartLimitReached() {
+  if (OpenStarts.size() < Window.limit())
+    return false;
+  Window.recordHeldBack();
+  AreTasksHeldBack = true;
+  return true;
+}
+
+void Owner::closeStart(const TaskKey &Key, int64_t Attempt, TimePoint Sent) {
+  TimePoint Now = Clock.now();
+  Window.recordAnswer(Now, Now - Sent);
+  JobProgress *Job = jobOf(Key.Job);
+  TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Key);
+  if (Task == nullptr || Task->Attempt == Attempt)
+    OpenStarts.erase(Key);
+  if (std::exchange(AreTasksHeldBack, false))
+    requestSchedulingPass();
+}
+
 void Owner::onStartAnswer(const TaskKey &Key, int64_t Attempt,
                           const EndpointId &AssignedTo, int64_t Token,
                           const EndpointResult &Result) {
--- a/src/teaselwalk/cell/testing/fake_clock.hpp
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -3,11 +3,13 @@
 #include "teaselwalk/cell/ports.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace teaselwalk::cell::testing {
 
@@ -45,10 +47,22 @@
 
 /// The clock as seen by one process. Its work is held back while the process is
 /// paused or its scheduler's thread is blocked, and dropped once it is dead.
+/// Work that takes processor time runs one after the other, in the order in
+/// which it became due.
 class FakeProcessClock : public Executor {
 public:
   explicit FakeProcessClock(FakeClock &Shared) : Shared(Shared) {}
 
+  using ProcessorTime = std::chrono::microseconds;
+  ProcessorTime WorkTime{0};    ///< Time of each piece of work.
+  ProcessorTime RequestTime{0}; ///< Time to send a request.
+  ProcessorTime StartTime{0};   ///< Time to store and send a start, beyond it.
+  ProcessorTime Used{0};        ///< Time that was used so far.
+
+  /// Sending a request takes processor time of the work that does it.
+  void chargeRequest() { Pending += RequestTime; }
+  void chargeStart() { Pending += StartTime; }
+
   TimePoint now() const override { return Shared.now(); }
   int64_t wallMillis() const override { return Shared.wallMillis(); }
   void after(Duration Delay, std::function<void()> Work) override {
@@ -127,9 +141,30 @@
     if (Dead)
       return;
     if (Paused || BlockedAt)
-      Waiting.push_back(Work);
-    else
+      return Waiting.push_back(Work);
+    if (WorkTime.count() == 0)
+      return Work();
+    Due.push_back(Work);
+    if (!IsBusy)
+      runNext();
+  }
+
+  void runNext() {
+    IsBusy = true;
+    while (!Due.empty() && !Dead && Pending < Duration(1)) {
+      auto Work = std::move(Due.front());
+      Due.pop_front();
+      ProcessorTime Before = Pending;
+      Pending += WorkTime;
       Work();
+      Used += Pending - Before;
+    }
+    IsBusy = Pending >= Duration(1);
+    if (!IsBusy)
+      return;
+    auto Whole = std::chrono::duration_cast<Duration>(Pending);
+    Pending -= Whole;
+    Shared.after(Whole, [this] { runNext(); });
   }
 
   void performLate() {
@@ -140,6 +175,9 @@
   }
 
   FakeClock &Shared;
+  std::deque<std::function<void()>> Due; ///< Waits for the processor.
+  bool IsBusy = false;
+  ProcessorTime Pending{0}; ///< Time until the processor is free.
   bool Paused = false;
   std::optional<TimePoint> BlockedAt;
   std::vector<std::function<void()>> Waiting;
--- a/src/teaselwalk/cell/testing/fake_endpoints.hpp
+++ b/src/teaselwalk/cell/testing/fake_endpoints.hpp
@@ -11,7 +11,8 @@
 /// Client of one process for the endpoints, with injected faults.
 class FakeEndpointClient : public EndpointCalls {
 public:
-  FakeEndpointClient(FakeClock &Network, Executor &Own, FakeCluster &Cluster)
+  FakeEndpointClient(FakeClock &Network, FakeProcessClock &Own,
+                     FakeCluster &Cluster)
       : Network(Network), Own(Own), Cluster(Cluster) {}
 
   bool IsPartitioned = false; ///< No endpoint is reachable.
@@ -26,6 +27,7 @@
 
   void start(const EndpointInfo &To, const StartRequest &Request,
              std::function<void(EndpointResult)> Done) override {
+    Own.chargeStart();
     bool IsLate = DelayStarts > 0;
     bool IsLost = !IsLate && LoseStarts > 0;
     if (IsLate || IsLost) {
@@ -63,6 +65,9 @@
   }
   void renew(const EndpointInfo &To, const RenewRequest &Request,
              std::function<void(RenewResult)> Done) override {
+    Own.chargeRequest();
+    Done =
+        withDeadline<RenewResult>(Request.Wait + RenewSlack, std::move(Done));
     if (!reaches(To.Id))
       return Own.after(Request.Wait + RequestTimeout,
                        [Done = std::move(Done)] { Done({}); });
@@ -75,8 +80,19 @@
 private:
   static constexpr Duration Latency{1};
   static constexpr Duration RequestTimeout{800};
+  static constexpr Duration RenewSlack{1000};
   static constexpr Duration PollInterval{10};
 
+  /// An answer that the process handles after the deadline counts as lost.
+  template <typename Result>
+  std::function<void(Result)> withDeadline(Duration Timeout,
+                                           std::function<void(Result)> Done) {
+    return [this, Deadline = Own.now() + Timeout,
+            Done = std::move(Done)](const Result &Answer) {
+      Done(Own.now() > Deadline ? Result() : Answer);
+    };
+  }
+
   bool reaches(const EndpointId &Id) const {
     auto Found = Cluster.Machines.find(Id);
     return !IsPartitioned && Found != Cluster.Machines.end() &&
@@ -102,6 +118,8 @@
   template <typename Result, typename Body>
   void call(const EndpointInfo &To, std::function<void(Result)> Done,
             Body Perform) {
+    Own.chargeRequest();
+    Done = withDeadline<Result>(RequestTimeout, std::move(Done));
     if (!reaches(To.Id))
       return Own.after(RequestTimeout, [Done = std::move(Done)] { Done({}); });
     Network.after(
@@ -115,7 +133,7 @@
   }
 
   FakeClock &Network;
-  Executor &Own;
+  FakeProcessClock &Own;
   FakeCluster &Cluster;
 };
 
