cell: endpoints that do not answer hold back no starts elsewhere

What callers would see: with the limit of open starts, a data centre that falls silent holds all of them until they time out after 800 ms, and nothing starts on the endpoints that answer.

Cause: every open start counted, also one at an endpoint that does not answer.

Change: while this process handles answers in time (the quickest one of the last interval took at most 150 ms), a start that is open for longer than 150 ms does not count. While it is late, all count, since their answers may be waiting in its own queue.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -122,6 +122,7 @@
     std::unordered_map<std::string, std::vector<TrackedEndpoint *>> Usable;
     /// Needs for which no endpoint had room, by service.
     std::unordered_map<std::string, std::vector<Resources>> Failed;
+    size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
   };
 
   /// When no endpoint had room for a task.
@@ -208,6 +209,7 @@
                      const EndpointResult &Result);
   /// True if no task may be placed until an open start is answered.
   bool isStartLimitReached();
+  size_t countOverdueStarts() const;
   /// Records that the start of \p Attempt, sent at \p Sent, has an answer.
   void closeStart(const TaskKey &Key, int64_t Attempt, TimePoint Sent);
   void sendStop(const TaskKey &Key, TaskProgress &Task);
@@ -352,8 +354,9 @@
   bool IsLoaded = false;
   bool IsPassRequested = false;
   StartWindow Window; ///< Limits the size of `OpenStarts`.
-  /// Placed tasks whose start is not answered yet; it may not be sent yet.
-  std::unordered_set<TaskKey> OpenStarts;
+  /// Placed tasks whose start is not answered yet, and when it was sent;
+  /// `TimePoint::max()`: it is not sent yet.
+  std::unordered_map<TaskKey, TimePoint> OpenStarts;
   bool AreTasksHeldBack = false; ///< The latest pass has reached the limit.
   PassState Pass;
   Duration LastPassTime{0};
--- a/include/teaselwalk/cell/start_window.hpp
+++ b/include/teaselwalk/cell/start_window.hpp
@@ -21,6 +21,10 @@
 
   size_t limit() const { return Limit; }
 
+  /// True if an open start that was sent \p Age ago does not count: this
+  /// process handles answers in time, so its endpoint does not answer.
+  bool isOverdue(Duration Age) const { return !IsLate && Age > LongestDelay; }
+
 private:
   void adapt();
 
@@ -29,7 +33,13 @@
   TimePoint IntervalEnd; ///< Of the current interval.
   Duration Shortest{0};  ///< Shortest time to an answer in the interval.
 
+  /// Even the quickest answer of the interval before took too long.
+  bool IsLate = false;
+
   static constexpr size_t InitialLimit = 256;
+  /// Time to an answer above which the limit shrinks. A start request times out
+  /// after 800 ms.
+  static constexpr Duration LongestDelay{150};
 };
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/endpoint_faults_test.cpp
+++ b/src/teaselwalk/cell/endpoint_faults_test.cpp
@@ -32,5 +32,28 @@
   }
 }
 
+// Guards against starts that wait because all open ones are at endpoints of a
+// data centre that does not answer any more.
+TEST(EndpointFaultsTest, SilentEndpointsDoNotHoldBackStartsElsewhere) {
+  FakeWorld World;
+  World.addEndpoints(400);
+  World.addProcesses(1);
+  World.Cluster.DefaultWork.Length = Duration(300);
+  World.Clock.runFor(Duration(1500));
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    Machine.IsPartitioned = Machine.Info.DataCentre == "dc-b";
+  auto Load = [&, Number = 0](int Milliseconds) mutable {
+    for (int I = 0; I < Milliseconds; ++I) {
+      World.send(0, CallerAction::Submit,
+                 World.job(++Number, {FakeWorld::step(2)}));
+      World.Clock.runFor(Duration(1));
+    }
+    return World.Cluster.Starts;
+  };
+  int Early = Load(350);
+  // Until then no start at a silent endpoint has timed out.
+  EXPECT_GT(Load(400) - Early, 200);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -128,6 +128,7 @@
 
 void Owner::runSchedulingPass() {
   Pass = {};
+  Pass.OverdueStarts = countOverdueStarts();
   std::vector<BacklogStep> Steps = collectBacklog();
   Log.count("scheduling_passes");
   Log.count("steps_considered", static_cast<int64_t>(Steps.size()));
@@ -172,7 +173,7 @@
     Job.assign(State, Task, Endpoint->Info.Id, Task.Attempt + 1);
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
-    OpenStarts.insert(Key);
+    OpenStarts.emplace(Key, TimePoint::max());
     reserveResources(*Endpoint, Job, Key);
     ++Placed;
     Places += (Places.empty() ? "" : ",") + std::to_string(T) + "@" +
@@ -237,7 +238,7 @@
     Task.Checkpoint = Checkpoint;
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
-    OpenStarts.insert(Key);
+    OpenStarts.emplace(Key, TimePoint::max());
   }
   markChanged(Job);
   Log.event(EventName::GangReserved,
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -111,6 +111,7 @@
   Task.IsStartSent = true;
   Task.StartToken = Request.FencingToken;
   Task.AssignedAt = Now;
+  OpenStarts[Key] = Now;
   Endpoint.RenewedAt = std::max(Endpoint.RenewedAt, Now);
   Log.count("starts");
   Endpoints.start(
@@ -124,13 +125,23 @@
 }
 
 bool Owner::isStartLimitReached() {
-  if (OpenStarts.size() < Window.limit())
+  // Starts may be released within a pass.
+  size_t Overdue = std::min(Pass.OverdueStarts, OpenStarts.size());
+  if (OpenStarts.size() - Overdue < Window.limit())
     return false;
   Window.recordHeldBack();
   AreTasksHeldBack = true;
   return true;
 }
 
+size_t Owner::countOverdueStarts() const {
+  TimePoint Now = Clock.now();
+  return static_cast<size_t>(
+      std::count_if(OpenStarts.begin(), OpenStarts.end(), [&](const auto &Row) {
+        return Row.second < Now && Window.isOverdue(Now - Row.second);
+      }));
+}
+
 void Owner::closeStart(const TaskKey &Key, int64_t Attempt, TimePoint Sent) {
   TimePoint Now = Clock.now();
   Window.recordAnswer(Now, Now - Sent);
--- a/src/teaselwalk/cell/start_window.cpp
+++ b/src/teaselwalk/cell/start_window.cpp
@@ -7,9 +7,6 @@
 
 constexpr size_t SmallestLimit = 32;
 constexpr size_t LargestLimit = 4096;
-/// Time to an answer above which the limit shrinks. A start request times out
-/// after 800 ms.
-constexpr Duration LongestDelay{150};
 constexpr Duration AdaptInterval{100};
 constexpr size_t ShrinkPercent = 70;
 constexpr size_t GrowPercent = 125;
@@ -29,7 +26,8 @@
 
 void StartWindow::adapt() {
   size_t Percent = 100;
-  if (Shortest > LongestDelay)
+  IsLate = Shortest > LongestDelay;
+  if (IsLate)
     Percent = ShrinkPercent;
   else if (IsUsedUp)
     Percent = GrowPercent;
--- a/src/teaselwalk/cell/start_window_test.cpp
+++ b/src/teaselwalk/cell/start_window_test.cpp
@@ -47,5 +47,16 @@
   EXPECT_GT(Window.limit(), Low * 4);
 }
 
+// Guards against starts without an answer that count as hung endpoints although
+// it is this process that is late.
+TEST(StartWindowTest, NoStartIsOverdueWhileAllAnswersAreLate) {
+  StartWindow Window;
+  answer(Window, timeAt(1000), {Duration(5)});
+  EXPECT_TRUE(Window.isOverdue(Duration(400)));
+  EXPECT_FALSE(Window.isOverdue(Duration(50)));
+  answer(Window, timeAt(3000), {Duration(400)});
+  EXPECT_FALSE(Window.isOverdue(Duration(400)));
+}
+
 } // namespace
 } // namespace teaselwalk::cell
