cell: test of an owner that is stuck; a longer owner lease is not worth it

Test AStuckOwnerIsReplacedWhileTaskLeasesLast guards the takeover from an owner that answers probes while its core is stuck (passes before and now: the lease of 1.25 s ends first, the detector's 2 s bound the longer leases that patience grants).

Tried and reverted: an owner lease of 3 s, then 2.5 s. An owner whose core works on one item for 1.8 s kept the ownership with 3 s (it is replaced in the first round with 1.25 s). But with two processes nobody confirms a suspicion, so the lease bounds the takeover, and OwnerTest.RestartsServicesOfADeadEndpointSoonAfterATakeover failed with both (1 start instead of 2 within 11 s; the new owner waits 9.1 s for old leases, which leaves 1.9 s for the takeover). The longest item seen in the logs of the large site is a pass of 510 ms, which 1.25 s outlasts.

Patience stays: without it (MaxPatience 1) a process that is held up as a whole for 1.3 s after each takeover changes the owner 82 times in 40 s (OwnersThatAreBusyWithTheirTakeoverSettle allows 6).

--- a/src/teaselwalk/cell/owner_election_test.cpp
+++ b/src/teaselwalk/cell/owner_election_test.cpp
@@ -178,6 +178,18 @@
   EXPECT_EQ(World.ownerIndex(), First);
 }
 
+// Guards against an owner that is stuck, but answers probes, and keeps the
+// ownership until the leases of the tasks that it no longer renews have ended.
+TEST_F(OwnerFailureTest, AStuckOwnerIsReplacedWhileTaskLeasesLast) {
+  begin(6);
+  World.Processes[First]->Clock.block();
+  World.Clock.runFor(Duration(2700));
+  int Others = 0;
+  for (size_t I = 0; I < World.Processes.size(); ++I)
+    Others += I != First && World.Processes[I]->Core->isOwner() ? 1 : 0;
+  EXPECT_EQ(Others, 1);
+}
+
 // Guards against a process that takes over from a healthy owner because it is
 // partitioned from the other processes, but not from the store.
 TEST_F(OwnerFailureTest, APartitionedProcessDoesNotTakeOver) {
