cell: a task that crashes the endpoints that start it is given up

Cause: only ends that an endpoint lists count against the attempts of a task, and a crashed endpoint lists none. So the end "the endpoint is gone" could be repeated without limit. Services have no limit of failed runs at all. Change: a crash (a new incarnation, or no answer until the leases have ended and no entry) is counted against the runs that had been started less than 400 ms before the last answer. The count and the incarnation at the time of the assignment are stored with the task, so both survive a takeover. A task with a crash on its account is started in isolation: on the endpoint with the fewest tasks, at least 400 ms before and after any other start there. Its job fails after the second crash if the task is the only suspect and no other endpoint was lost without a suspect, or two others at all, at the same time; otherwise after the fourth. A run of 10 s clears it. Services, and members of a gang one by one, are counted alike. An assigned start is given back if its endpoint has another incarnation by then. Log: `endpoint_crashed` names the endpoint, both incarnations, the suspects with attempt and count, and whether the crash has a common cause; `job_finished` has the reason.

--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -66,6 +66,7 @@
   EndpointJoined,
   EndpointGone,
   EndpointRestarted,
+  EndpointCrashed,
   TaskPaced,
   CallerAnswered,
   EvacuationChanged,
@@ -76,7 +77,7 @@
   ProcessLoad,
 };
 
-constexpr std::array<EnumName<EventName>, 68> EventNames = {{
+constexpr std::array<EnumName<EventName>, 69> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -137,6 +138,7 @@
     {EventName::EndpointJoined, "endpoint_joined"},
     {EventName::EndpointGone, "endpoint_gone"},
     {EventName::EndpointRestarted, "endpoint_reborn"},
+    {EventName::EndpointCrashed, "endpoint_crashed"},
     {EventName::TaskPaced, "task_paced"},
     {EventName::CallerAnswered, "caller_answered"},
     {EventName::EvacuationChanged, "evacuation_changed"},
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace teaselwalk::cell {
 
@@ -33,7 +36,11 @@
   TimePoint ClockReadAt;
 
   TimePoint LastAnswerAt; ///< When a renewal was last answered.
-  TimePoint RenewedAt; ///< When the latest request to extend leases was sent.
+  TimePoint LastAliveAt;  ///< The same for renewals and start requests.
+  /// The first call that failed since then; the default value: none.
+  TimePoint FirstFailureAt;
+  TimePoint LastStartAt; ///< When the latest start request was sent.
+  TimePoint RenewedAt;   ///< When the latest request to extend leases was sent.
   uint64_t RenewalsSent = 0;
   /// Number of the newest renewal that was answered.
   uint64_t LatestAnsweredRenewal = 0;
@@ -50,6 +57,11 @@
   Resources Reserved; ///< Resources that are reserved for `Tasks`.
   /// Tasks that may run here.
   std::unordered_set<TaskKey> Tasks;
+  /// Runs that were released while it was silent but still listed, so it may
+  /// have crashed or be unreachable.
+  std::vector<RunAtCrash> ReleasedRuns;
+  /// The suspected task that is or was started here in isolation.
+  std::optional<TaskKey> IsolatedTask;
   int32_t ServingTasks = 0; ///< Tasks with a limit of their tail latency.
   int32_t OpportunisticTasks = 0;
   /// Demand of the opportunistic tasks, in thousandths of a processor.
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -20,14 +20,20 @@
 /// Progress of one task, as far as this owner knows.
 struct TaskProgress {
   TaskPhase Phase = TaskPhase::Waiting;
-  bool IsStartSent = false;      ///< This owner has sent the start request.
-  bool IsStopping = false;       ///< A stop request was sent.
-  int32_t Failures = 0;          ///< Runs that ended by a failure.
+  bool IsStartSent = false; ///< This owner has sent the start request.
+  bool IsStopping = false;  ///< A stop request was sent.
+  int32_t Failures = 0;     ///< Runs that ended by a failure.
+  /// Crashes of endpoints that a run of this task may have caused.
+  int32_t Crashes = 0;
   int64_t Attempt = 0;           ///< Number of the latest run; 0: none.
   EndpointId AssignedTo;         ///< Endpoint of the latest run.
   std::string Checkpoint;        ///< Latest that is known; empty: none.
   int64_t AssignmentVersion = 0; ///< First record version with the assignment.
-  int64_t StartToken = 0;        ///< Fencing token of the start request.
+  /// Fencing token of the start request; 0: a former owner has sent it.
+  int64_t StartToken = 0;
+  /// The endpoint's incarnation when the task was assigned to it; 0: unknown.
+  int64_t IncarnationMs = 0;
+  int64_t CrashedAttempt = 0; ///< Latest attempt in which a crash was counted.
   TimePoint AssignedAt;
   /// When the endpoint accepted the start request or first listed the run.
   TimePoint StartConfirmedAt;
@@ -77,6 +83,8 @@
   int64_t SeparateVersion = 0;
   TimePoint AcceptedAt;
   TimePoint Objective; ///< Latest completion that is on time.
+  /// The starts of isolated tasks will be tried again.
+  bool IsStartPostponed = false;
   /// Submitted beyond the rate that its team is entitled to.
   bool IsOverRate = false;
   std::vector<OccurrenceProgress> Occurrences;
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/advice_dispatcher.hpp"
 #include "teaselwalk/cell/advice_plan.hpp"
 #include "teaselwalk/cell/configuration.hpp"
+#include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/endpoint_table.hpp"
 #include "teaselwalk/cell/fenced_writer.hpp"
 #include "teaselwalk/cell/job_progress.hpp"
@@ -170,7 +171,8 @@
   void writeChanged();
   void onWritten(const StoreWrite &Stored);
   void acknowledgeStored(const JobId &Id);
-  void endJob(JobProgress &Job, JobPhase Status);
+  /// \p Why: for the log, such as the task that has failed.
+  void endJob(JobProgress &Job, JobPhase Status, const std::string &Why);
 
   // owner_bundles.cpp
   std::string encodeBundle(StoreWrite &Next, size_t MaxBytes);
@@ -223,8 +225,41 @@
   /// \p Service is the pool that the endpoint must belong to.
   bool mayStartOn(const TrackedEndpoint &Endpoint, const std::string &Service,
                   TimePoint Now) const;
+  /// True if the endpoint to which the task is assigned may still start it.
+  bool maySendStart(const TaskProgress &Task, const std::string &Service);
   void suspendEndpoint(TrackedEndpoint &Endpoint, Duration First);
 
+  // owner_crashes.cpp
+  void noteAlive(TrackedEndpoint &Endpoint);
+  void noteFailure(TrackedEndpoint &Endpoint);
+  CrashTime crashTimeOf(const TrackedEndpoint &Endpoint) const;
+  /// Runs on an endpoint of which \p NowMs is the present incarnation; 0: it
+  /// does not answer.
+  std::vector<RunAtCrash> runsAtCrash(const TrackedEndpoint &Endpoint,
+                                      int64_t NowMs);
+  /// Counts the crash of an endpoint against the tasks that may have caused it.
+  /// \p NowMs as for `runsAtCrash`.
+  void countCrash(TrackedEndpoint &Endpoint, int64_t NowMs);
+  void logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
+                const std::vector<RunAtCrash> &Runs,
+                const std::vector<RunAtCrash> &Suspects, bool IsProven);
+  /// Adds a crash to the account of \p Run. True if its job is to be given up.
+  bool countAgainst(const RunAtCrash &Run, bool IsProven);
+  /// True if no task may be placed on \p Endpoint because of a suspected one.
+  bool isIsolated(const TrackedEndpoint &Endpoint) const;
+  /// True if another start on the endpoint of a suspected task is too close to
+  /// its own.
+  bool mustPostpone(const TaskKey &Key, const TaskProgress &Task);
+  /// An endpoint without an answer has not crashed.
+  void noteSurvival(TrackedEndpoint &Endpoint);
+  void clearSuspicion(TaskProgress &Task) const;
+  /// Tries to send the starts of \p Postponed again after a while.
+  void retryPostponedStarts(JobProgress &Job,
+                            const std::vector<TaskKey> &Postponed);
+  /// Asks whether an endpoint is alive once the run that was started last is no
+  /// longer suspected of a crash.
+  void verifyAlive(const EndpointId &Id);
+
   // owner_progress.cpp
   /// Declared run time of a task, times the `RunTimeRatio` of its queue.
   Duration expectedRunTime(const JobProgress &Job, const StepSpec &Step) const;
@@ -254,7 +289,8 @@
   /// True if a task that needs no more than \p Need found no room in this pass.
   bool hasFailedInPass(const std::string &Service, const Resources &Need) const;
   TrackedEndpoint *chooseEndpoint(const JobProgress &Job, const StepSpec &Step,
-                                  const StepKey &Key, StepAdvice *Advice);
+                                  const StepKey &Key, StepAdvice *Advice,
+                                  bool IsSuspected);
   bool fitsTeamLimit(const JobProgress &Job, const Resources &Need) const;
   double score(const TrackedEndpoint &Endpoint, const StepSpec &Step) const;
   int32_t countTasksOn(const TrackedEndpoint &Endpoint,
@@ -340,7 +376,8 @@
   TeamRates Rates;
   std::map<StepKey, StepAdvice> StepAdvices;
   std::unordered_map<std::string, std::vector<FullFleet>>
-      NoRoomFor;     ///< By service.
+      NoRoomFor; ///< By service.
+  LostEndpoints Lost;
   RoomClaims Claims; ///< Of the steps whose requests for advice are open.
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -12,8 +12,9 @@
 using Json = nlohmann::json;
 
 /// In a record, a task is 0 (never assigned), 1 (done) or an array of attempt,
-/// failures, endpoint (empty unless the task may run there) and, if there is
-/// one, checkpoint.
+/// failures, endpoint (empty unless the task may run there), checkpoint (empty:
+/// none), crashes and incarnation of the endpoint. Values at the end that are
+/// empty or 0 are left out.
 Json encodeTask(const TaskProgress &Task) {
   if (Task.Phase == TaskPhase::Done)
     return 1;
@@ -21,8 +22,14 @@
     return 0;
   bool MayRun = Task.Phase != TaskPhase::Waiting;
   Json Row = {Task.Attempt, Task.Failures, MayRun ? Task.AssignedTo.str() : ""};
-  if (!Task.Checkpoint.empty())
+  int64_t IncarnationMs = MayRun ? Task.IncarnationMs : 0;
+  bool HasCrashes = Task.Crashes != 0 || IncarnationMs != 0;
+  if (!Task.Checkpoint.empty() || HasCrashes)
     Row.push_back(Task.Checkpoint);
+  if (HasCrashes)
+    Row.push_back(Task.Crashes);
+  if (IncarnationMs != 0)
+    Row.push_back(IncarnationMs);
   return Row;
 }
 
@@ -38,6 +45,10 @@
       Task.AssignedTo.empty() ? TaskPhase::Waiting : TaskPhase::Assigned;
   if (Value.size() > 3)
     Task.Checkpoint = Value.at(3);
+  if (Value.size() > 4)
+    Task.Crashes = Value.at(4);
+  if (Value.size() > 5)
+    Task.IncarnationMs = Value.at(5);
 }
 
 } // namespace
@@ -103,6 +114,7 @@
   Task.AssignedTo = AssignedTo;
   Task.Attempt = Attempt;
   Task.StartToken = 0;
+  Task.IncarnationMs = 0;
   Task.StartConfirmedAt = TimePoint();
   Task.CpuLimitPercent = 100;
   Task.ProgressPercent = 0;
--- /dev/null
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -0,0 +1,178 @@
+#include "owner_limits.hpp"
+
+#include "teaselwalk/cell/owner.hpp"
+
+#include <algorithm>
+
+namespace teaselwalk::cell {
+namespace {
+
+/// Pause before the start of an isolated task is tried again.
+constexpr Duration PostponedStartRetry{40};
+
+/// A task that has run this long on an endpoint is cleared of all suspicion.
+constexpr Duration ClearedAfter{10000};
+
+} // namespace
+
+void Owner::noteAlive(TrackedEndpoint &Endpoint) {
+  Endpoint.LastAliveAt = Clock.now();
+  Endpoint.FirstFailureAt = TimePoint();
+}
+
+void Owner::noteFailure(TrackedEndpoint &Endpoint) {
+  bool WasAlive = Endpoint.LastAliveAt != TimePoint();
+  if (!WasAlive || Endpoint.FirstFailureAt != TimePoint())
+    return;
+  Endpoint.FirstFailureAt = Clock.now();
+  CrashTime Crash = crashTimeOf(Endpoint);
+  Lost.add(Endpoint.Info.Id, Crash,
+           !suspectsOf(Crash, runsAtCrash(Endpoint, 0)).empty());
+}
+
+void Owner::noteSurvival(TrackedEndpoint &Endpoint) {
+  if (Endpoint.FirstFailureAt != TimePoint())
+    Lost.remove(Endpoint.Info.Id);
+  Endpoint.ReleasedRuns.clear();
+}
+
+void Owner::clearSuspicion(TaskProgress &Task) const {
+  if (Clock.now() - Task.StartConfirmedAt > ClearedAfter)
+    Task.Crashes = 0;
+}
+
+CrashTime Owner::crashTimeOf(const TrackedEndpoint &Endpoint) const {
+  bool HasFailed = Endpoint.FirstFailureAt != TimePoint();
+  return {Endpoint.LastAliveAt,
+          HasFailed ? Endpoint.FirstFailureAt : Clock.now()};
+}
+
+std::vector<RunAtCrash> Owner::runsAtCrash(const TrackedEndpoint &Endpoint,
+                                           int64_t NowMs) {
+  std::vector<RunAtCrash> Runs = Endpoint.ReleasedRuns;
+  for (const TaskKey &Key : Endpoint.Tasks) {
+    const TaskProgress &Task = *jobOf(Key.Job)->find(Key);
+    bool IsOfPresentIncarnation =
+        NowMs != 0 && (Task.IncarnationMs == 0 || Task.IncarnationMs == NowMs);
+    if (!Task.IsStartSent || IsOfPresentIncarnation)
+      continue;
+    // A run of a former owner was alive when this owner first saw it.
+    bool IsOwnStart = Task.StartToken != 0;
+    bool WasSeen = Task.StartConfirmedAt != TimePoint();
+    Runs.push_back({Key, Task.Attempt,
+                    IsOwnStart ? Task.AssignedAt : Task.StartConfirmedAt,
+                    IsOwnStart || WasSeen});
+  }
+  return Runs;
+}
+
+void Owner::countCrash(TrackedEndpoint &Endpoint, int64_t NowMs) {
+  std::vector<RunAtCrash> Runs = runsAtCrash(Endpoint, NowMs);
+  Endpoint.ReleasedRuns.clear();
+  if (Runs.empty())
+    return;
+  CrashTime Crash = crashTimeOf(Endpoint);
+  std::vector<RunAtCrash> Suspects = suspectsOf(Crash, Runs);
+  bool IsProven = Suspects.size() == 1 && Suspects.front().IsStartKnown &&
+                  !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
+  logCrash(Endpoint, NowMs, Runs, Suspects, IsProven);
+  std::vector<TaskKey> GivenUp;
+  for (const RunAtCrash &Run : Suspects)
+    if (countAgainst(Run, IsProven))
+      GivenUp.push_back(Run.Task);
+  for (const TaskKey &Key : GivenUp)
+    endJob(*jobOf(Key.Job), JobPhase::Failed,
+           "endpoints have crashed under task " + textOf(Key));
+}
+
+void Owner::logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
+                     const std::vector<RunAtCrash> &Runs,
+                     const std::vector<RunAtCrash> &Suspects, bool IsProven) {
+  CrashTime Crash = crashTimeOf(Endpoint);
+  std::string Names;
+  for (const RunAtCrash &Run : Suspects) {
+    JobProgress *Job = jobOf(Run.Task.Job);
+    TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
+    Names += (Names.empty() ? "" : ",") + Run.Task.Job.str() + '/' +
+             textOf(Run.Task) + '#' + std::to_string(Run.Attempt) + ':' +
+             std::to_string(Task == nullptr ? 0 : Task->Crashes);
+  }
+  Log.event(EventName::EndpointCrashed,
+            {{"endpoint", Endpoint.Info.Id.str()},
+             {"before", std::to_string(Endpoint.IncarnationMs)},
+             {"now", NowMs == 0 ? "gone" : std::to_string(NowMs)},
+             {"alive_ms_ago",
+              std::to_string((Clock.now() - Crash.LastAliveAt).count())},
+             {"failed_ms_ago",
+              std::to_string((Clock.now() - Crash.FirstFailureAt).count())},
+             {"runs", std::to_string(Runs.size())},
+             {"common_cause",
+              Lost.haveCommonCause(Endpoint.Info.Id, Crash) ? "true" : "false"},
+             {"proven", IsProven ? "true" : "false"},
+             {"suspects", Names}});
+}
+
+bool Owner::countAgainst(const RunAtCrash &Run, bool IsProven) {
+  JobProgress *Job = jobOf(Run.Task.Job);
+  TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
+  if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done ||
+      Task->CrashedAttempt >= Run.Attempt)
+    return false;
+  Task->CrashedAttempt = Run.Attempt;
+  ++Task->Crashes;
+  markChanged(*Job);
+  return Task->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes);
+}
+
+bool Owner::isIsolated(const TrackedEndpoint &Endpoint) const {
+  if (!Endpoint.IsolatedTask ||
+      Endpoint.Tasks.count(*Endpoint.IsolatedTask) == 0)
+    return false;
+  JobProgress &Job = *Jobs.at(Endpoint.IsolatedTask->Job);
+  const TaskProgress &Task = *Job.find(*Endpoint.IsolatedTask);
+  if (Job.isEnded())
+    return false;
+  return !Task.IsStartSent ||
+         Endpoint.LastAliveAt < Task.AssignedAt + SuspicionWindow;
+}
+
+bool Owner::mustPostpone(const TaskKey &Key, const TaskProgress &Task) {
+  if (Task.Crashes == 0)
+    return false;
+  const TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
+  bool HasUnsent = std::any_of(
+      Endpoint.Tasks.begin(), Endpoint.Tasks.end(), [&](const TaskKey &Other) {
+        return !(Other == Key) && !jobOf(Other.Job)->find(Other)->IsStartSent;
+      });
+  bool AreOthersCleared =
+      Endpoint.LastStartAt == TimePoint() ||
+      Endpoint.LastAliveAt >= Endpoint.LastStartAt + SuspicionWindow;
+  return HasUnsent || !AreOthersCleared;
+}
+
+void Owner::retryPostponedStarts(JobProgress &Job,
+                                 const std::vector<TaskKey> &Postponed) {
+  for (const TaskKey &Key : Postponed) {
+    // The runs that were started last are cleared by an answer.
+    const TrackedEndpoint &Endpoint = Table[Job.find(Key)->AssignedTo];
+    bool IsDue = Clock.now() >= Endpoint.LastStartAt + SuspicionWindow &&
+                 Endpoint.LastAliveAt < Endpoint.LastStartAt + SuspicionWindow;
+    if (IsDue && Endpoint.RenewalsInFlight <= 1)
+      renew(Endpoint.Info.Id, false);
+  }
+  if (std::exchange(Job.IsStartPostponed, true))
+    return;
+  Clock.after(PostponedStartRetry, guarded([this, Id = Job.Spec.Id] {
+                JobProgress *Job = jobOf(Id);
+                if (Job == nullptr)
+                  return;
+                Job->IsStartPostponed = false;
+                sendAssignedStarts(*Job);
+              }));
+}
+
+void Owner::verifyAlive(const EndpointId &Id) {
+  Clock.after(SuspicionWindow, guarded([this, Id] { renew(Id, false); }));
+}
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -194,7 +194,7 @@
   if (Job->isEnded())
     return;
   Log.event(EventName::JobCancelled, {{"job", Id.str()}});
-  endJob(*Job, JobPhase::Cancelled);
+  endJob(*Job, JobPhase::Cancelled, "cancelled");
 }
 
 void Owner::onEndpointItem(const StoreItem &Item) {
@@ -206,6 +206,8 @@
     Found->second.IsListed = false;
     Found->second.UnlistedSince = Clock.now();
     Log.event(EventName::EndpointGone, {{"endpoint", Id.str()}});
+    if (!Found->second.Info.Draining && !Found->second.ReleasedRuns.empty())
+      countCrash(Found->second, 0);
     return;
   }
   EndpointInfo Info;
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -14,6 +14,9 @@
 constexpr double RemoteDataPenalty = 60000;
 constexpr double InterferencePenalty = 200000;
 constexpr double SlownessPenalty = 60000;
+/// For each task that a suspected one would take along if it crashed the
+/// endpoint.
+constexpr double NeighbourPenalty = 200000;
 
 /// Lower slowness is not penalised: declared run times are off by half, so it
 /// shows nothing about the endpoint.
@@ -163,18 +166,25 @@
       continue;
     if (!fitsTeamLimit(Job, Step.Need) || isStartLimitReached())
       break;
-    TrackedEndpoint *Endpoint = chooseEndpoint(Job, Step, Next.Key, Advice);
+    bool IsSuspected = Task.Crashes > 0;
+    TrackedEndpoint *Endpoint =
+        chooseEndpoint(Job, Step, Next.Key, Advice, IsSuspected);
     if (Endpoint == nullptr) {
       IsShort = true;
+      if (IsSuspected)
+        continue;
       break;
     }
     TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step,
                 static_cast<int32_t>(T)};
     Job.assign(State, Task, Endpoint->Info.Id, Task.Attempt + 1);
+    Task.IncarnationMs = Endpoint->IncarnationMs;
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
     OpenStarts.emplace(Key, TimePoint::max());
     reserveResources(*Endpoint, Job, Key);
+    if (IsSuspected)
+      Endpoint->IsolatedTask = Key;
     ++Placed;
     Places += (Places.empty() ? "" : ",") + std::to_string(T) + "@" +
               Endpoint->Info.Id.str();
@@ -217,14 +227,21 @@
   for (const TaskProgress &Task : State.Tasks)
     Checkpoint = std::max(Checkpoint, Task.Checkpoint);
   std::vector<std::pair<TaskKey, TrackedEndpoint *>> Places;
-  for (int32_t T = 0; T < Step.Tasks; ++T) {
-    TrackedEndpoint *Endpoint = chooseEndpoint(Job, Step, Next.Key, Advice);
-    if (Endpoint == nullptr)
-      break;
-    TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step, T};
-    reserveResources(*Endpoint, Job, Key);
-    Places.emplace_back(Key, Endpoint);
-  }
+  // Suspected tasks first, since no other task may be placed with them.
+  for (bool IsSuspected : {true, false})
+    for (int32_t T = 0; T < Step.Tasks; ++T) {
+      if ((State.Tasks[static_cast<size_t>(T)].Crashes > 0) != IsSuspected)
+        continue;
+      TrackedEndpoint *Endpoint =
+          chooseEndpoint(Job, Step, Next.Key, Advice, IsSuspected);
+      if (Endpoint == nullptr)
+        break;
+      TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step, T};
+      reserveResources(*Endpoint, Job, Key);
+      if (IsSuspected)
+        Endpoint->IsolatedTask = Key;
+      Places.emplace_back(Key, Endpoint);
+    }
   if (Places.size() < State.Tasks.size()) {
     for (auto &[Key, Endpoint] : Places)
       freeResources(Job, Key, Endpoint->Info.Id);
@@ -236,6 +253,7 @@
     TaskProgress &Task = *Job.find(Key);
     Job.assign(State, Task, Endpoint->Info.Id, Attempt + 1);
     Task.Checkpoint = Checkpoint;
+    Task.IncarnationMs = Endpoint->IncarnationMs;
     Task.AssignedAt = Now;
     Task.AssignmentVersion = Job.Version + 1;
     OpenStarts.emplace(Key, TimePoint::max());
@@ -269,13 +287,13 @@
 
 TrackedEndpoint *Owner::chooseEndpoint(const JobProgress &Job,
                                        const StepSpec &Step, const StepKey &Key,
-                                       StepAdvice *Advice) {
+                                       StepAdvice *Advice, bool IsSuspected) {
   Resources Need = reservedResources(Step);
   const std::string &Service = policyOf(Job).Service;
   TrackedEndpoint *Best = nullptr;
   double BestScore = std::numeric_limits<double>::max();
   auto Consider = [&](TrackedEndpoint &Endpoint) {
-    if (!fits(Need, Endpoint.freeCapacity()))
+    if (!fits(Need, Endpoint.freeCapacity()) || isIsolated(Endpoint))
       return;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       return;
@@ -287,6 +305,8 @@
         countTasksOn(Endpoint, Key) >= Step.MaxPerEndpoint)
       return;
     double Score = score(Endpoint, Step);
+    if (IsSuspected)
+      Score += NeighbourPenalty * static_cast<double>(Endpoint.Tasks.size());
     if (Score >= BestScore)
       return;
     BestScore = Score;
@@ -299,7 +319,7 @@
       Consider(*Endpoint);
     // The places of a gang may be given back, so its failure shows nothing.
     bool IsGeneral = Step.RequiredLabel.empty() && !Step.Opportunistic &&
-                     Step.MaxPerEndpoint == 0 && !Step.Gang;
+                     Step.MaxPerEndpoint == 0 && !Step.Gang && !IsSuspected;
     if (Best == nullptr && IsGeneral)
       Pass.Failed[Service].push_back(Need);
     return Best;
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -87,6 +87,8 @@
   if (Result.Outcome != EndpointOutcome::Done) {
     Endpoint.IsIncarnationConfirmed = false;
     Log.count("renewals_failed");
+    if (Result.Outcome != EndpointOutcome::StaleToken)
+      noteFailure(Endpoint);
     if (Result.Outcome == EndpointOutcome::StaleToken &&
         Token == Endpoint.Token)
       return Hooks.OwnershipLost("an endpoint has seen a higher token");
@@ -101,13 +103,14 @@
   // Answers may arrive out of order; one to an older renewal is ignored.
   if (Number > Endpoint.LatestAnsweredRenewal) {
     Endpoint.LatestAnsweredRenewal = Number;
+    bool IsSameIncarnation = updateIncarnation(Endpoint, Result);
+    noteAlive(Endpoint);
     Endpoint.LastAnswerAt = Now;
     Endpoint.ClockMs = Result.ClockMs;
     // The endpoint reads its clock when it answers. If the reading were dated
     // to the start of the call, leases would end later than this owner expects.
     Endpoint.ClockReadAt = Now;
     Endpoint.FencedToken = std::max(Endpoint.FencedToken, Token);
-    bool IsSameIncarnation = updateIncarnation(Endpoint, Result);
     Endpoint.IsIncarnationConfirmed = true;
     handleEndedRuns(Endpoint, Result.Ends);
     reconcileRuns(Endpoint, Result, Token, Sent);
@@ -119,8 +122,13 @@
 
 bool Owner::updateIncarnation(TrackedEndpoint &Endpoint,
                               const RenewResult &Result) {
+  if (Endpoint.IncarnationMs == Result.IncarnationMs) {
+    noteSurvival(Endpoint);
+    return true;
+  }
+  countCrash(Endpoint, Result.IncarnationMs);
   int64_t Before = std::exchange(Endpoint.IncarnationMs, Result.IncarnationMs);
-  if (Before == 0 || Before == Result.IncarnationMs)
+  if (Before == 0)
     return true;
   Log.event(EventName::EndpointRestarted,
             {{"endpoint", Endpoint.Info.Id.str()},
@@ -216,6 +224,7 @@
     Job->IsStarted = true;
     if (Task->StartConfirmedAt == TimePoint())
       Task->StartConfirmedAt = Now;
+    clearSuspicion(*Task);
     Task->ProgressPercent = Run.ProgressPercent;
     checkProgress(Endpoint, *Job, Run.Task, *Task, Run.ProgressPercent);
     Task->LoadMetric = Run.LoadMetric;
@@ -286,6 +295,10 @@
       {{"endpoint", Endpoint.Info.Id.str()},
        {"silent_ms", std::to_string((Now - Endpoint.LastAnswerAt).count())},
        {"tasks", std::to_string(Expired.size())}});
+  if (Endpoint.IsListed)
+    Endpoint.ReleasedRuns = runsAtCrash(Endpoint, 0);
+  else if (!Endpoint.Info.Draining)
+    countCrash(Endpoint, 0);
   for (const TaskKey &Key : Expired)
     releaseTask(Key, "the lease has ended");
 }
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/owner.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace teaselwalk::cell {
 namespace {
@@ -12,6 +13,11 @@
 /// The same pause if the endpoint rejected the start request as malformed.
 constexpr Duration InvalidStartPause{1000};
 
+void moveAll(std::vector<TaskKey> &From, std::vector<TaskKey> &To) {
+  To.insert(To.end(), From.begin(), From.end());
+  From.clear();
+}
+
 } // namespace
 
 bool Owner::mayStartOn(const TrackedEndpoint &Endpoint,
@@ -34,6 +40,12 @@
   return Confirmed && Clock.now() - *Confirmed < MaxDesiredStateAge;
 }
 
+bool Owner::maySendStart(const TaskProgress &Task, const std::string &Service) {
+  const TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
+  return mayStartOn(Endpoint, Service, Clock.now()) &&
+         Endpoint.IncarnationMs == Task.IncarnationMs;
+}
+
 void Owner::suspendEndpoint(TrackedEndpoint &Endpoint, Duration First) {
   Endpoint.LatestSuspension =
       Endpoint.LatestSuspension.count() == 0
@@ -53,13 +65,15 @@
       Now - ownershipConfirmedAt() < MaxConfirmationAgeToStart &&
       isDesiredStateFresh();
   const std::string &Service = policyOf(Job).Service;
-  std::vector<TaskKey> Starts;
+  bool MayStart = HasAuthority && !Job.isEnded();
+  std::vector<TaskKey> Ready;
+  std::vector<TaskKey> Postponed;
   std::vector<TaskKey> Released;
   for (size_t K = 0; K < Job.Occurrences.size(); ++K)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
       StepProgress &Step = Job.Occurrences[K].Steps[S];
-      std::vector<TaskKey> Unsent;
-      bool MayStart = HasAuthority && !Job.isEnded();
+      std::array<std::vector<TaskKey>, 3> OfStep;
+      auto &[StepReady, StepPostponed, StepReleased] = OfStep;
       for (size_t T = 0; T < Step.Tasks.size(); ++T) {
         TaskProgress &Task = Step.Tasks[T];
         if (Task.Phase != TaskPhase::Assigned || Task.IsStartSent ||
@@ -67,29 +81,30 @@
           continue;
         TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
                     static_cast<int32_t>(S), static_cast<int32_t>(T)};
-        bool CanStart =
-            MayStart && mayStartOn(Table[Task.AssignedTo], Service, Now);
-        Unsent.push_back(Key);
-        if (!CanStart)
-          Released.push_back(Key);
+        if (!MayStart || !maySendStart(Task, Service))
+          StepReleased.push_back(Key);
+        else if (mustPostpone(Key, Task))
+          StepPostponed.push_back(Key);
         else
-          Starts.push_back(Key);
+          StepReady.push_back(Key);
       }
-      bool IsGangIncomplete = Job.Spec.Steps[S].Gang && !Released.empty();
-      if (!IsGangIncomplete)
-        continue;
       // Either all tasks of a gang start or none.
-      Starts.erase(std::remove_if(Starts.begin(), Starts.end(),
-                                  [&](const TaskKey &Key) {
-                                    return Key.Step == static_cast<int32_t>(S);
-                                  }),
-                   Starts.end());
-      Released.insert(Released.end(), Unsent.begin(), Unsent.end());
+      if (Job.Spec.Steps[S].Gang && !StepPostponed.empty())
+        moveAll(StepReady, StepPostponed);
+      if (Job.Spec.Steps[S].Gang && !StepReleased.empty()) {
+        moveAll(StepReady, StepReleased);
+        moveAll(StepPostponed, StepReleased);
+      }
+      moveAll(StepReady, Ready);
+      moveAll(StepPostponed, Postponed);
+      moveAll(StepReleased, Released);
     }
   for (const TaskKey &Key : Released)
     releaseTask(Key, "the endpoint or the owner may no longer start tasks");
-  for (const TaskKey &Key : Starts)
+  for (const TaskKey &Key : Ready)
     sendStart(Job, Key, *Job.find(Key));
+  if (!Postponed.empty())
+    retryPostponedStarts(Job, Postponed);
 }
 
 void Owner::sendStart(JobProgress &Job, const TaskKey &Key,
@@ -112,6 +127,9 @@
   Task.StartToken = Request.FencingToken;
   Task.AssignedAt = Now;
   OpenStarts[Key] = Now;
+  Endpoint.LastStartAt = Now;
+  if (Task.Crashes > 0)
+    verifyAlive(Task.AssignedTo);
   Endpoint.RenewedAt = std::max(Endpoint.RenewedAt, Now);
   Log.count("starts");
   Endpoints.start(
@@ -163,6 +181,11 @@
       Task->AssignedTo != AssignedTo || Task->Phase != TaskPhase::Assigned)
     return;
   TrackedEndpoint &Endpoint = Found->second;
+  bool IsAnswered = Result.Outcome != EndpointOutcome::Unknown &&
+                    Result.Outcome != EndpointOutcome::Unavailable &&
+                    Result.Outcome != EndpointOutcome::WrongIncarnation;
+  if (IsAnswered)
+    noteAlive(Endpoint);
   if (Result.Outcome == EndpointOutcome::Done) {
     Task->StartConfirmedAt = Clock.now();
     Task->Phase = TaskPhase::Running;
@@ -180,6 +203,7 @@
        {"token", std::to_string(Token)},
        {"outcome", std::string(nameOf(EndpointOutcomeNames, Result.Outcome))}});
   if (Result.Outcome == EndpointOutcome::Unknown) {
+    noteFailure(Endpoint);
     // Once the endpoint has seen a higher token, it refuses the request if it
     // arrives late, and its list of runs shows whether the task has started.
     if (Token == Endpoint.Token)
@@ -298,7 +322,7 @@
     return;
   markChanged(Job);
   if (Job.allDone())
-    endJob(Job, JobPhase::Completed);
+    endJob(Job, JobPhase::Completed, "all tasks are done");
   else
     addReadySteps(Job);
 }
@@ -318,7 +342,7 @@
     return;
   markChanged(Job);
   if (!Spec.Service && Failures >= policyOf(Job).MaxAttempts)
-    endJob(Job, JobPhase::Failed);
+    endJob(Job, JobPhase::Failed, "attempts of task " + textOf(Key));
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -106,7 +106,7 @@
     requestSchedulingPass();
 }
 
-void Owner::endJob(JobProgress &Job, JobPhase Status) {
+void Owner::endJob(JobProgress &Job, JobPhase Status, const std::string &Why) {
   if (Job.isEnded())
     return;
   Job.Status = Status;
@@ -124,6 +124,7 @@
       EventName::JobFinished,
       {{"job", Job.Spec.Id.str()},
        {"status", std::string(nameOf(StatusNames, Status))},
+       {"reason", Why},
        {"age_ms", std::to_string(Clock.wallMillis() - Job.Spec.AcceptedMs)},
        {"late_ms", std::to_string((Clock.now() - Job.Objective).count())}});
   markChanged(Job);
--- a/src/teaselwalk/cell/random_faults_test.cpp
+++ b/src/teaselwalk/cell/random_faults_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <set>
 
 namespace teaselwalk::cell::testing {
 namespace {
@@ -13,8 +14,8 @@
 /// and all accepted jobs must end.
 class RandomScenario {
 public:
-  RandomScenario(uint32_t Seed, uint32_t FaultKinds)
-      : Random(Seed), FaultKinds(FaultKinds) {}
+  RandomScenario(uint32_t Seed, uint32_t FaultKinds, bool HasDeadlyTasks)
+      : Random(Seed), FaultKinds(FaultKinds), HasDeadlyTasks(HasDeadlyTasks) {}
 
   void run() {
     if (std::getenv("FUZZ_TRACE") != nullptr)
@@ -22,6 +23,7 @@
         std::cout << Line << '\n';
       };
     World.addEndpoints(6);
+    World.restartCrashedEndpoints(RestartTime, FaultKinds % 2 == 0);
     World.addProcesses(3);
     World.Clock.runFor(Duration(1500));
     for (int Round = 0; Round < 60; ++Round) {
@@ -46,6 +48,14 @@
                       Answer.State == JobPhase::Cancelled;
       EXPECT_TRUE(HasEnded) << Accepted[I].Id << " is in state "
                             << static_cast<int>(Answer.State);
+      if (Deadly.count(Accepted[I].Id) == 0) {
+        EXPECT_NE(Answer.State, JobPhase::Failed) << Accepted[I].Id;
+      }
+    }
+    for (const auto &[Key, Starts] : World.Cluster.StartsOf) {
+      bool IsDeadly = World.Cluster.Work[Key].CrashesEndpoint;
+      EXPECT_TRUE(!IsDeadly || Starts <= MaxStartsOfDeadlyTasks)
+          << Key.Job << ' ' << textOf(Key) << " started " << Starts;
     }
     // A refused job must never run.
     for (const JobId &Id : Refused)
@@ -54,6 +64,11 @@
   }
 
 private:
+  /// How long an endpoint is away that a task has crashed.
+  static constexpr Duration RestartTime{2500};
+  /// A task that has crashed three endpoints may be started twice more.
+  static constexpr int MaxStartsOfDeadlyTasks = 5;
+
   uint32_t randomBelow(uint32_t Count) {
     return std::uniform_int_distribution<uint32_t>(0, Count - 1)(Random);
   }
@@ -85,6 +100,13 @@
       if (Steps[0].Gang)
         Work = {Duration(1000), 0, false};
     }
+    // The model of the endpoints does not end a gang that has lost a task.
+    if (HasDeadlyTasks && !Steps[0].Gang && randomBelow(4) == 0) {
+      auto Index = static_cast<int32_t>(
+          randomBelow(static_cast<uint32_t>(Steps[0].Tasks)));
+      World.Cluster.Work[{Job.Id, 0, 0, Index}].CrashesEndpoint = true;
+      Deadly.insert(Job.Id);
+    }
     auto Answers = World.send(liveProcess(), CallerAction::Submit, Job);
     World.Clock.runFor(Duration(2500));
     if (Answers->empty())
@@ -235,6 +257,8 @@
   FakeWorld World;
   std::mt19937 Random;
   const uint32_t FaultKinds;
+  const bool HasDeadlyTasks;
+  std::set<JobId> Deadly; ///< Jobs with a task that crashes its endpoints.
   std::vector<JobSpec> Accepted;
   std::vector<JobId> Refused;
   int Number = 0;
@@ -250,6 +274,7 @@
 constexpr uint32_t FirstSeed = 20261204;
 constexpr uint32_t SingleFaultScenarios = 60;
 constexpr uint32_t NetworkScenarios = 30;
+constexpr uint32_t DeadlyTaskScenarios = 30;
 
 uint32_t fromEnvironment(const char *Name, uint32_t Default) {
   const char *Text = std::getenv(Name);
@@ -259,12 +284,13 @@
 // Guards against combinations of faults that break a rule: no endpoint exceeds
 // its capacity, no task runs twice, no step starts before the ones it depends
 // on have ended, no refused job runs, and every accepted job ends.
-void runScenarios(uint32_t FaultKinds, uint32_t DefaultCount) {
+void runScenarios(uint32_t FaultKinds, uint32_t DefaultCount,
+                  bool HasDeadlyTasks = false) {
   uint32_t First = fromEnvironment("FUZZ_SEED", FirstSeed);
   uint32_t Count = fromEnvironment("FUZZ_CASES", DefaultCount);
   for (uint32_t Seed = First; Seed < First + Count; ++Seed) {
     SCOPED_TRACE("seed " + std::to_string(Seed));
-    RandomScenario Scenario(Seed, FaultKinds);
+    RandomScenario Scenario(Seed, FaultKinds, HasDeadlyTasks);
     Scenario.run();
     Scenario.check();
     if (::testing::Test::HasFailure())
@@ -282,5 +308,15 @@
   runScenarios(AllFaultKinds, NetworkScenarios);
 }
 
+// The same with tasks that crash the endpoints that start them. They are given
+// up in time, and no other job fails.
+TEST(RandomFaultsTest, GivesUpDeadlyTasksAmongFaults) {
+  runScenarios(SingleFaultKinds, DeadlyTaskScenarios, true);
+}
+
+TEST(RandomFaultsTest, GivesUpDeadlyTasksAmongNetworkFaults) {
+  runScenarios(AllFaultKinds, DeadlyTaskScenarios, true);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/testing/fake_cluster.hpp
+++ b/src/teaselwalk/cell/testing/fake_cluster.hpp
@@ -17,6 +17,7 @@
   Duration Length{1000};
   int FailFirst = 0;             ///< Number of runs that fail at their end.
   bool RunsUntilStopped = false; ///< Runs until it is stopped.
+  bool CrashesEndpoint = false;  ///< Its start crashes the endpoint.
 };
 
 /// Model of all endpoints that follows their protocol. It also checks the
@@ -66,10 +67,13 @@
   FakeWork DefaultWork;
   std::set<std::string> Violations; ///< Violated invariants and their tasks.
   Duration MaxLease{6000};
+  Duration StopTime{50}; ///< From a stop request to the end of the run.
   /// Called with one line for each start, end and acknowledgement of a run.
   std::function<void(const std::string &)> Trace;
   /// Whether a start request carries a valid ticket; unset: none is needed.
   std::function<bool(const StartRequest &, const EndpointId &)> AcceptsTicket;
+  /// Called when a task has crashed its endpoint.
+  std::function<void(const EndpointId &)> OnCrash;
   int Starts = 0;
   std::map<TaskKey, int> StartsOf;
 
@@ -166,7 +170,8 @@
   /// Endpoint, start of its incarnation and number of an ended run.
   using EndId = std::tuple<EndpointId, int64_t, int64_t>;
 
-  static constexpr Duration StopTime{50};
+  /// From the start of a task that crashes its endpoint to the crash.
+  static constexpr Duration CrashDelay{3};
   /// The owner notices a restart by a failed renewal, after 2 s at most.
   static constexpr Duration TimeToFence{3000};
 
@@ -237,6 +242,8 @@
     M.Running[Request.Task] = Value;
     auto Found = Work.find(Request.Task);
     const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
+    if (Plan.CrashesEndpoint)
+      return crashLater(M.Info.Id);
     if (Plan.RunsUntilStopped || M.IsStuck)
       return;
     bool Fails = M.FailsAll || StartsOf[Request.Task] <= Plan.FailFirst;
@@ -246,6 +253,16 @@
     });
   }
 
+  void crashLater(const EndpointId &Id) {
+    Clock.after(CrashDelay, [this, Id] {
+      if (!Machines[Id].IsUp)
+        return;
+      crash(Id);
+      if (OnCrash)
+        OnCrash(Id);
+    });
+  }
+
   void end(const EndpointId &Id, const TaskKey &Task, uint64_t Serial,
            RunOutcome How) {
     Machine &M = Machines[Id];
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -129,6 +129,23 @@
     Store.remove(EntryPrefix + Id.str());
   }
 
+  /// An endpoint that a task has crashed is back after \p Pause, either under
+  /// the same id or as a new endpoint.
+  void restartCrashedEndpoints(Duration Pause, bool KeepsId) {
+    Cluster.OnCrash = [this, Pause, KeepsId](const EndpointId &Id) {
+      Clock.after(EntryLifetime, [this, Id] {
+        if (!Cluster.Machines[Id].IsUp)
+          unlistEndpoint(Id);
+      });
+      Clock.after(Pause, [this, Id, KeepsId] {
+        if (!KeepsId)
+          return addEndpoints(1, Cluster.Machines[Id].Info.Capacity);
+        Cluster.restart(Id);
+        listEndpoint(Id);
+      });
+    };
+  }
+
   void addProcesses(int Count) {
     for (int I = 0; I < Count; ++I) {
       Processes.push_back(std::make_unique<FakeProcess>(
@@ -227,6 +244,9 @@
   JobSpec Submitted;
 
 private:
+  /// The entry of an endpoint that reports nothing is removed after this time.
+  static constexpr Duration EntryLifetime{1500};
+
   int Restarts = 0;
   /// Killed processes, kept because messages in flight refer to them.
   std::vector<std::unique_ptr<FakeProcess>> Dead;
