cell: assigned starts are given back if the capacity has shrunk meanwhile

What endpoints saw: a start that brings them over their capacity (LIMIT) if the capacity shrinks between the assignment of a task and its start, for example while a write to the store takes a second. Cause: room is checked when a task is assigned, not when its start is sent. Change: the start is sent only if all that is reserved, including runs that are being stopped, fits the newest capacity; otherwise the task is placed again. Result: AssignedStartsAreGivenBackIfTheCapacityShrinks fails before (started, capacity exceeded) and passes after. The tests for capacity that shrinks while tasks run or are being stopped pass before and after.

--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -42,8 +42,10 @@
 
 bool Owner::maySendStart(const TaskProgress &Task, const std::string &Service) {
   const TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
+  // The capacity may have shrunk since the task was assigned.
   return mayStartOn(Endpoint, Service, Clock.now()) &&
-         Endpoint.IncarnationMs == Task.IncarnationMs;
+         Endpoint.IncarnationMs == Task.IncarnationMs &&
+         fits(Endpoint.Reserved, Endpoint.Info.Capacity);
 }
 
 void Owner::suspendEndpoint(TrackedEndpoint &Endpoint, Duration First) {
