--- a/src/teaselwalk/http/client_connections_test.cpp
+++ b/src/teaselwalk/http/client_connections_test.cpp
@@ -52,7 +52,7 @@
     Request Message;
     Message.Method = "POST";
     Sender->send(
-        To, std::move(Message), LongTimeout,
+        To, Message, LongTimeout,
         [Slot](const Result &Got) { Slot->set_value(Got.State); }, Kind);
     return State;
   }
@@ -60,6 +60,7 @@
   /// Sends to each of the server's addresses and returns the number of answers.
   int sendToAll(int Addresses, int PerAddress, PeerKind Kind) {
     std::vector<std::future<Delivery>> Ends;
+    Ends.reserve(static_cast<size_t>(Addresses) * PerAddress);
     for (int I = 0; I < Addresses * PerAddress; ++I)
       Ends.push_back(send(address(I % Addresses), Kind));
     int Answered = 0;
--- a/src/teaselwalk/http/client_deadline_test.cpp
+++ b/src/teaselwalk/http/client_deadline_test.cpp
@@ -35,7 +35,7 @@
     std::future<Delivery> State = Slot->get_future();
     Request Message;
     Message.Method = "POST";
-    Sender.send(To, std::move(Message), Timeout,
+    Sender.send(To, Message, Timeout,
                 [Slot](const Result &Got) { Slot->set_value(Got.State); });
     return State;
   }
--- a/src/teaselwalk/http/wire_test.cpp
+++ b/src/teaselwalk/http/wire_test.cpp
@@ -79,6 +79,14 @@
 TEST(ResponseReaderTest, MalformedAnswersAreRejected) {
   const std::string Long(MaxBody + 1, 'x');
   const std::string Head = "HTTP/1.1 200 OK\r\n";
+  std::string LongBody = Head + "Content-Length: 65\r\n\r\n";
+  LongBody.append(Long);
+  std::string LongUntilClose = Head + "\r\n";
+  LongUntilClose.append(Long);
+  std::string LongChunk = Head + "Transfer-Encoding: chunked\r\n\r\n41\r\n";
+  LongChunk.append(Long).append("\r\n0\r\n\r\n");
+  std::string LongHead = Head + "X: ";
+  LongHead.append(9000, 'x').append("\r\n\r\n");
   for (const std::string &Text :
        {std::string(),
         std::string("HTTP/2 200 OK\r\n\r\n"),
@@ -92,17 +100,16 @@
         Head + "Content-Length: 1x\r\n\r\n",
         Head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         Head + "Content-Length: 99999999999999999999999\r\n\r\n",
-        Head + "Content-Length: 65\r\n\r\n" + Long,
-        Head + "\r\n" + Long,
+        LongBody,
+        LongUntilClose,
         Head + "Content-Length: 5\r\n\r\nabcd",
         Head + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
         Head + "Transfer-Encoding: gzip\r\n\r\n",
         Head + "Transfer-Encoding: chunked\r\n\r\nx\r\n",
         Head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n",
         Head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
-        Head + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + Long +
-            "\r\n0\r\n\r\n",
-        Head + "X: " + std::string(9000, 'x') + "\r\n\r\n"})
+        LongChunk,
+        LongHead})
     for (size_t PieceBytes : {size_t(1), size_t(7), size_t(10000)})
       EXPECT_EQ(read(Text, PieceBytes).State, Progress::Malformed)
           << Text << PieceBytes;
