cell: the reason is the last field of job_finished

The tests of overload read the age of a job by its position in the line. Both (ABurstReleasesNoTasks, IsBackToNormalSoonAfterABurst) failed with "stoll" once the reason stood before it.

--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -124,9 +124,9 @@
       EventName::JobFinished,
       {{"job", Job.Spec.Id.str()},
        {"status", std::string(nameOf(StatusNames, Status))},
-       {"reason", Why},
        {"age_ms", std::to_string(Clock.wallMillis() - Job.Spec.AcceptedMs)},
-       {"late_ms", std::to_string((Clock.now() - Job.Objective).count())}});
+       {"late_ms", std::to_string((Clock.now() - Job.Objective).count())},
+       {"reason", Why}});
   markChanged(Job);
   stopAllRuns(Job);
 }
