cell: tasks of one job are not isolated from each other after a crash

Cause: after a rack without power all members of a gang were suspected, so each needed an endpoint of its own.

Change: a job is given up as a whole, so its own tasks are not isolated from each other and need not wait for each other; a crash under suspects of one job only counts as proven. Plans leave out endpoints that are isolated for another job. The placement of gangs moves to a file of its own.

Test AGangThatHasLostItsEndpointsStartsAgain failed before for endpoints that keep their id and for new ones.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -245,8 +245,9 @@
                 const std::vector<RunAtCrash> &Suspects, bool IsProven);
   /// Adds a crash to the account of \p Run. True if its job is to be given up.
   bool countAgainst(const RunAtCrash &Run, bool IsProven);
-  /// True if no task may be placed on \p Endpoint because of a suspected one.
-  bool isIsolated(const TrackedEndpoint &Endpoint) const;
+  /// True if no task of job \p Id may be placed on \p Endpoint because of a
+  /// suspected task of another job.
+  bool isIsolated(const TrackedEndpoint &Endpoint, const JobId &Id) const;
   /// True if another start on the endpoint of a suspected task is too close to
   /// its own.
   bool mustPostpone(const TaskKey &Key, const TaskProgress &Task);
@@ -281,8 +282,6 @@
   void addReadySteps(JobProgress &Job);
   std::vector<BacklogStep> collectBacklog();
   void placeStep(const BacklogStep &Next);
-  void placeGang(const BacklogStep &Next, StepProgress &State,
-                 StepAdvice *Advice);
   /// The endpoints of \p Service on which tasks may start in this pass.
   const std::vector<TrackedEndpoint *> &
   usableEndpoints(const std::string &Service);
@@ -302,6 +301,10 @@
   void freeResources(const JobProgress &Job, const TaskKey &Key,
                      const EndpointId &AssignedTo);
 
+  // owner_gangs.cpp
+  void placeGang(const BacklogStep &Next, StepProgress &State,
+                 StepAdvice *Advice);
+
   // owner_advice.cpp
   StepAdvice *adviceFor(const JobProgress &Job, const StepKey &Key);
   /// Asks for tickets for the waiting tasks of a step.
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -81,7 +81,8 @@
   for (const auto &[Id, Endpoint] : Table) {
     Resources Room = Endpoint.freeCapacity();
     if (tasksThatFit(Step.Need, Room) == 0 ||
-        !mayStartOn(Endpoint, Service, Now))
+        !mayStartOn(Endpoint, Service, Now) ||
+        isIsolated(Endpoint, Job.Spec.Id))
       continue;
     Room -= Claims.claimed(Id);
     int64_t Places = tasksThatFit(Step.Need, Room);
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -73,8 +73,13 @@
     return;
   CrashTime Crash = crashTimeOf(Endpoint);
   std::vector<RunAtCrash> Suspects = suspectsOf(Crash, Runs);
-  bool IsProven = Suspects.size() == 1 && Suspects.front().IsStartKnown &&
-                  !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
+  // A job is given up as a whole, so it need not be known which of its tasks
+  // has caused the crash.
+  bool IsOneJob =
+      std::all_of(Suspects.begin(), Suspects.end(), [&](const RunAtCrash &Run) {
+        return Run.IsStartKnown && Run.Task.Job == Suspects.front().Task.Job;
+      });
+  bool IsProven = IsOneJob && !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
   logCrash(Endpoint, NowMs, Runs, Suspects, IsProven);
   std::vector<TaskKey> GivenUp;
   for (const RunAtCrash &Run : Suspects)
@@ -124,8 +129,8 @@
   return Task->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes);
 }
 
-bool Owner::isIsolated(const TrackedEndpoint &Endpoint) const {
-  if (!Endpoint.IsolatedTask ||
+bool Owner::isIsolated(const TrackedEndpoint &Endpoint, const JobId &Id) const {
+  if (!Endpoint.IsolatedTask || Endpoint.IsolatedTask->Job == Id ||
       Endpoint.Tasks.count(*Endpoint.IsolatedTask) == 0)
     return false;
   JobProgress &Job = *Jobs.at(Endpoint.IsolatedTask->Job);
@@ -142,7 +147,8 @@
   const TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
   bool HasUnsent = std::any_of(
       Endpoint.Tasks.begin(), Endpoint.Tasks.end(), [&](const TaskKey &Other) {
-        return !(Other == Key) && !jobOf(Other.Job)->find(Other)->IsStartSent;
+        return Other.Job != Key.Job &&
+               !jobOf(Other.Job)->find(Other)->IsStartSent;
       });
   bool AreOthersCleared =
       Endpoint.LastStartAt == TimePoint() ||
--- a/src/teaselwalk/cell/owner_crashes_test.cpp
+++ b/src/teaselwalk/cell/owner_crashes_test.cpp
@@ -56,6 +56,23 @@
   expectState(Neighbour, JobPhase::Completed);
 }
 
+// Guards against a gang that waits for ever because each of its members has
+// lost its endpoint once and asks for an endpoint of its own.
+TEST_P(OwnerCrashesTest, AGangThatHasLostItsEndpointsStartsAgain) {
+  World.requireAdvice();
+  World.Cluster.DefaultWork.Length = Duration(4000);
+  beginWithRestarts(2, 4, GetParam());
+  JobSpec Gang = World.job(1, {World.step(12, 1500)});
+  Gang.Steps[0].Gang = true;
+  submit(Gang);
+  World.Clock.runFor(Duration(100));
+  ASSERT_EQ(World.Cluster.Starts, 12);
+  for (const EndpointId &Id : endpointsOf(Gang))
+    crash(Id);
+  World.Clock.runFor(Duration(30000));
+  expectState(Gang, JobPhase::Completed);
+}
+
 // Guards against a count of crashes that is lost when the owner changes.
 TEST_P(OwnerCrashesTest, CountsCrashesAcrossTakeovers) {
   beginWithRestarts(3, 6, GetParam());
