http: the end of a connection before an answer is not passed to the parser

The sanitizer build ends with an assertion of Boost.Beast when a connection closes before the first byte of an answer (http and fakes tests aborted; the release build compiles the assertion out). Such an answer is malformed without asking the parser.

Tests: http (20), adapter (18) and fakes pass with sanitizers again.

--- a/src/teaselwalk/http/wire.cpp
+++ b/src/teaselwalk/http/wire.cpp
@@ -95,10 +95,12 @@
 }
 
 Progress ResponseReader::finish() {
+  // The parser may not be told of the end before it has read anything.
+  if (!Current->is_header_done())
+    return Progress::Malformed;
   error_code Failure;
-  bool HasHead = Current->is_header_done();
   Current->put_eof(Failure);
-  if (Failure || !HasHead || !Current->is_done())
+  if (Failure || !Current->is_done())
     return Progress::Malformed;
   return complete({});
 }
