cell: changes are stored while the next pass is postponed

Cause: records were written at the end of a pass only, and a pass waits four times the length of the one before. So ends, starts and results waited for up to 370 ms although the store was idle, and a job was shown as completed that much later.

Change: what has changed is written 15 ms later, unless a pass is due by then, which adds its placements to the same write.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -166,6 +166,8 @@
   // owner_store.cpp
   void markChanged(JobProgress &Job);
   void queueWrite(const JobId &Id);
+  /// Writes what has changed soon, also if the next pass is not due by then.
+  void requestWrite();
   /// Removes and returns the first job of `WriteQueue`; null if there is none.
   const JobProgress *takeNextChanged();
   void writeChanged();
@@ -393,6 +395,8 @@
   int ContactsThen = 0;       ///< First renewals that are due at that time.
   bool IsLoaded = false;
   bool IsPassRequested = false;
+  TimePoint NextPassAt; ///< When the requested pass is due.
+  bool IsWriteRequested = false;
   StartWindow Window; ///< Limits the size of `OpenStarts`.
   /// Placed tasks whose start is not answered yet, and when it was sent;
   /// `TimePoint::max()`: it is not sent yet.
--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -71,7 +71,7 @@
       break;
   }
   if (Queued > 0)
-    return requestSchedulingPass();
+    return;
   StoreTransaction Change;
   Change.Removes.push_back(Oldest->first);
   Bundles.erase(Oldest);
@@ -79,7 +79,7 @@
                   if (!IsDone)
                     return Hooks.OwnershipLost(
                         "the epoch record names another owner");
-                  requestSchedulingPass();
+                  requestWrite();
                 }));
 }
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -42,6 +42,7 @@
     return;
   IsPassRequested = true;
   Duration Delay = std::max(PassDelay, LastPassTime * PassTimeFactor);
+  NextPassAt = Clock.now() + Delay;
   Clock.after(Delay, guarded([this] {
                 IsPassRequested = false;
                 TimePoint Start = Clock.now();
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -32,6 +32,21 @@
 void Owner::queueWrite(const JobId &Id) {
   if (InWriteQueue.insert(Id).second)
     WriteQueue.push_back(Id);
+  requestWrite();
+}
+
+void Owner::requestWrite() {
+  if (IsWriteRequested || !IsLoaded)
+    return;
+  IsWriteRequested = true;
+  Clock.after(PassDelay, guarded([this] {
+                IsWriteRequested = false;
+                // A pass that is due adds its placements to the same write.
+                bool IsPassNear =
+                    IsPassRequested && NextPassAt - Clock.now() <= PassDelay;
+                if (!IsPassNear)
+                  writeChanged();
+              }));
 }
 
 const JobProgress *Owner::takeNextChanged() {
@@ -103,7 +118,7 @@
       Endpoint.UnacknowledgedEnds.pop_front();
     }
   if (!WriteQueue.empty())
-    requestSchedulingPass();
+    requestWrite();
 }
 
 void Owner::endJob(JobProgress &Job, JobPhase Status, const std::string &Why) {
--- a/src/teaselwalk/cell/testing/fake_clock.hpp
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,11 +60,18 @@
   ProcessorTime StartTime{0};   ///< Time to store and send a start, beyond it.
   ProcessorTime Used{0};        ///< Time that was used so far.
 
-  /// Sending a request takes processor time of the work that does it.
   void chargeRequest() { Pending += RequestTime; }
   void chargeStart() { Pending += StartTime; }
+  /// Lets \p Time pass in the work that is being done. What it sends later
+  /// still leaves at once.
+  void spend(ProcessorTime Time) {
+    Pending += Time;
+    Spent += Time;
+  }
 
-  TimePoint now() const override { return Shared.now(); }
+  TimePoint now() const override {
+    return Shared.now() + std::chrono::duration_cast<Duration>(Spent);
+  }
   int64_t wallMillis() const override { return Shared.wallMillis(); }
   void after(Duration Delay, std::function<void()> Work) override {
     Shared.after(Delay, [this, Work = std::move(Work)] { perform(Work); });
@@ -157,6 +165,7 @@
       ProcessorTime Before = Pending;
       Pending += WorkTime;
       Work();
+      Spent = ProcessorTime(0);
       Used += Pending - Before;
     }
     IsBusy = Pending >= Duration(1);
@@ -178,6 +187,7 @@
   std::deque<std::function<void()>> Due; ///< Waits for the processor.
   bool IsBusy = false;
   ProcessorTime Pending{0}; ///< Time until the processor is free.
+  ProcessorTime Spent{0};   ///< By `spend` in the work that is being done.
   bool Paused = false;
   std::optional<TimePoint> BlockedAt;
   std::vector<std::function<void()>> Waiting;
@@ -197,11 +207,14 @@
   }
   void count(const char *Name, int64_t Amount) override {
     Counts[Name] += Amount;
+    if (OnCount)
+      OnCount(Name, Amount);
   }
   void time(const char *, Duration) override {}
 
   std::map<EventName, int> Events;
   std::map<std::string, int64_t> Counts;
+  std::function<void(const std::string &Name, int64_t Amount)> OnCount;
   bool KeepsLines = false; ///< Keeps the log lines in `Lines`.
   std::vector<std::pair<EventName, EventFields>> Lines;
 };
