cell: a write does not look at all endpoints

The owner keeps the ids of the endpoints that have such ends; the loop that stood twice is one function.

No behaviour changes.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -172,7 +172,9 @@
   const JobProgress *takeNextChanged();
   void writeChanged();
   void onWritten(const StoreWrite &Stored);
-  void acknowledgeStored(const JobId &Id);
+  /// Lets \p Endpoint forget the ends whose effects are stored. False if it
+  /// must keep some.
+  bool acknowledgeStoredEnds(TrackedEndpoint &Endpoint);
   /// \p Why: for the log, such as the task that has failed.
   void endJob(JobProgress &Job, JobPhase Status, const std::string &Why);
 
@@ -373,6 +375,8 @@
   /// `collectBacklog`.
   std::set<StepKey> Backlog;
   EndpointTable Table;
+  /// Endpoints that may have ends whose effects are not stored.
+  std::unordered_set<EndpointId> WithUnacknowledgedEnds;
   /// Highest fencing token that this owner has sent to any endpoint. New
   /// entries of `Table` start with it: an endpoint that was removed from the
   /// table and is listed again may have seen any token up to it.
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -155,14 +155,8 @@
         {End.Number, End.Task.Job, Job == nullptr ? 0 : Job->Version});
   }
   // Ends that need no write are acknowledged with the next renewal.
-  while (!Endpoint.UnacknowledgedEnds.empty()) {
-    JobProgress *Job = jobOf(Endpoint.UnacknowledgedEnds.front().Job);
-    if (Job != nullptr &&
-        Job->StoredVersion < Endpoint.UnacknowledgedEnds.front().Version)
-      break;
-    Endpoint.LastStoredEnd = Endpoint.UnacknowledgedEnds.front().Number;
-    Endpoint.UnacknowledgedEnds.pop_front();
-  }
+  if (!acknowledgeStoredEnds(Endpoint))
+    WithUnacknowledgedEnds.insert(Endpoint.Info.Id);
 }
 
 void Owner::handleEndedRun(TrackedEndpoint &Endpoint, const EndedRun &End) {
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -3,6 +3,8 @@
 #include "teaselwalk/cell/keys.hpp"
 #include "teaselwalk/cell/owner.hpp"
 
+#include <iterator>
+
 namespace teaselwalk::cell {
 namespace {
 
@@ -108,19 +110,28 @@
     Note(Row);
   if (!Stored.Bundle.empty())
     Bundles[Stored.Bundle] = Stored.Bundled;
-  for (auto &[Id, Endpoint] : Table)
-    while (!Endpoint.UnacknowledgedEnds.empty()) {
-      const UnacknowledgedEnd &End = Endpoint.UnacknowledgedEnds.front();
-      JobProgress *Job = jobOf(End.Job);
-      if (Job != nullptr && Job->StoredVersion < End.Version)
-        break;
-      Endpoint.LastStoredEnd = End.Number;
-      Endpoint.UnacknowledgedEnds.pop_front();
-    }
+  for (auto It = WithUnacknowledgedEnds.begin();
+       It != WithUnacknowledgedEnds.end();) {
+    auto Found = Table.find(*It);
+    bool IsDone = Found == Table.end() || acknowledgeStoredEnds(Found->second);
+    It = IsDone ? WithUnacknowledgedEnds.erase(It) : std::next(It);
+  }
   if (!WriteQueue.empty())
     requestWrite();
 }
 
+bool Owner::acknowledgeStoredEnds(TrackedEndpoint &Endpoint) {
+  std::deque<UnacknowledgedEnd> &Ends = Endpoint.UnacknowledgedEnds;
+  while (!Ends.empty()) {
+    const JobProgress *Job = jobOf(Ends.front().Job);
+    if (Job != nullptr && Job->StoredVersion < Ends.front().Version)
+      return false;
+    Endpoint.LastStoredEnd = Ends.front().Number;
+    Ends.pop_front();
+  }
+  return true;
+}
+
 void Owner::endJob(JobProgress &Job, JobPhase Status, const std::string &Why) {
   if (Job.isEnded())
     return;
