--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -8,6 +8,7 @@
 #include "teaselwalk/cell/fenced_writer.hpp"
 #include "teaselwalk/cell/job_progress.hpp"
 #include "teaselwalk/cell/lifetime.hpp"
+#include "teaselwalk/cell/open_jobs.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
 #include "teaselwalk/cell/start_window.hpp"
@@ -78,7 +79,9 @@
   std::optional<JobView> find(const JobId &Id) const;
 
   /// Accepted jobs of \p Queue of which no task has started.
-  int64_t pending(const std::string &Queue) const;
+  int64_t pending(const std::string &Queue) const {
+    return Open.pending(Queue);
+  }
 
   void desiredStateChanged() { requestSchedulingPass(); }
   /// Sets the processes through which advice is asked.
@@ -370,7 +373,7 @@
   std::map<std::string, std::vector<RecordVersion>> Bundles;
   /// Jobs whose cancellation was read before the job itself.
   std::unordered_set<JobId> EarlyCancellations;
-  std::unordered_set<JobId> OpenJobs; ///< Jobs that have not ended.
+  OpenJobs Open;
   /// Steps that may start and have waiting tasks. Others are dropped by
   /// `collectBacklog`.
   std::set<StepKey> Backlog;
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -77,7 +77,7 @@
               EventName::OwnerReady,
               {{"epoch", std::to_string(Epoch)},
                {"jobs", std::to_string(Jobs.size())},
-               {"open", std::to_string(OpenJobs.size())},
+               {"open", std::to_string(Open.size())},
                {"after_ms", std::to_string((Clock.now() - GainedAt).count())}});
           Discovery.start();
           tick();
@@ -135,7 +135,7 @@
     Jobs[Id] = std::move(Added);
     restoreAssignments(Job);
     if (!Job.isEnded())
-      OpenJobs.insert(Id);
+      Open.add(Job);
     else
       ToRemove.push_back(Id);
   } catch (const Error &Failure) {
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -72,7 +72,7 @@
 
 void Owner::updateDueJobs() {
   int64_t Wall = Clock.wallMillis();
-  for (const JobId &Id : OpenJobs) {
+  for (const JobId &Id : Open) {
     JobProgress &Job = *Jobs[Id];
     if (Job.Spec.Repetitions > 0 && !Job.Occurrences.back().IsDue &&
         Wall >= Job.Spec.FirstStartMs)
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -172,7 +172,7 @@
              {"number", std::to_string(End.Number)}});
   if (Task == nullptr)
     return;
-  Job->IsStarted = true;
+  Open.markStarted(*Job);
   bool IsCurrent = Task->Attempt == End.Attempt &&
                    Task->AssignedTo == Endpoint.Info.Id &&
                    Task->Phase != TaskPhase::Waiting;
@@ -215,7 +215,7 @@
     Listed.insert(Run.Task);
     if (Task->Phase == TaskPhase::Assigned)
       Task->Phase = TaskPhase::Running;
-    Job->IsStarted = true;
+    Open.markStarted(*Job);
     if (Task->StartConfirmedAt == TimePoint())
       Task->StartConfirmedAt = Now;
     clearSuspicion(*Task);
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -191,7 +191,7 @@
   if (Result.Outcome == EndpointOutcome::Done) {
     Task->StartConfirmedAt = Clock.now();
     Task->Phase = TaskPhase::Running;
-    Job->IsStarted = true;
+    Open.markStarted(*Job);
     return;
   }
   Endpoint.IsIncarnationConfirmed = false;
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -137,7 +137,7 @@
     return;
   Job.Status = Status;
   Job.EndedMs = Clock.wallMillis();
-  OpenJobs.erase(Job.Spec.Id);
+  Open.remove(Job);
   ToRemove.push_back(Job.Spec.Id);
   for (size_t K = 0; K < Job.Occurrences.size(); ++K)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
@@ -173,16 +173,6 @@
   return View;
 }
 
-int64_t Owner::pending(const std::string &Queue) const {
-  int64_t Count = 0;
-  for (const JobId &Id : OpenJobs) {
-    const JobProgress &Job = *Jobs.at(Id);
-    if (Job.Spec.Queue == Queue && !Job.IsStarted)
-      ++Count;
-  }
-  return Count;
-}
-
 JobProgress *Owner::jobOf(const JobId &Id) {
   auto Found = Jobs.find(Id);
   return Found == Jobs.end() ? nullptr : Found->second.get();
