cell: steps that no endpoint may run share their searches

What callers could see: quick work becomes late while many steps wait that no endpoint with room may run, because each pass takes longer the more there are.

Cause: each such step was searched for every 80 ms, and each search looks at all endpoints. The memory of a full fleet did not cover a required label, nor steps that all endpoints with room had refused.

Change: that no endpoint with a label has room is remembered as for a full fleet (20 ms). A step whose search found nothing looks only at endpoints with a gain since then: room or a claim was freed, the entry has changed, or tasks may start there again (checked every 20 ms). All endpoints are searched for it again one step at a time, 5 ms apart. So a gain is noticed by the first pass after 80 ms. Room that is isolated for others no longer counts as a full fleet, because the suspected job may use it.

Tests: StepsWithoutALabelledEndpointShareTheirSearches and StepsThatAreRefusedEverywhereShareTheirSearches failed with Expected: (plans()) <= (MaxPlans), actual: 2400 vs 500 Expected: (plans() - Before) <= (MaxPlans), actual: 2400 vs 500 and pass now. Four tests guard against late use of a label, an endpoint, room and the end of an evacuation; they passed before, and the one about room fails without the gains (50 starts of 300).

--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -78,6 +78,13 @@
   int32_t OpportunisticCpuLimitPercent = 100;
   TimePoint CpuLimitChangedAt;
 
+  /// Number of the latest event after which a request for advice may name it
+  /// although an earlier one could not. Numbers rise over all endpoints.
+  uint64_t LatestGain = 0;
+  /// The incarnation on which tasks could start when that was last checked; 0:
+  /// none could.
+  int64_t UsableIncarnationMs = 0;
+
   /// Capacity that is not reserved.
   Resources freeCapacity() const;
   const std::string &rack() const;
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -12,6 +12,7 @@
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
 #include "teaselwalk/cell/start_window.hpp"
+#include "teaselwalk/cell/step_advice.hpp"
 #include "teaselwalk/cell/store_mirror.hpp"
 #include "teaselwalk/cell/team_rates.hpp"
 
@@ -90,27 +91,6 @@
   }
 
 private:
-  /// What the advisory service has answered about a step on one endpoint.
-  struct EndpointAdvice {
-    bool IsAllowed = false;
-    std::string Ticket; ///< Needed to start the step's tasks there.
-    TimePoint ValidUntil;
-    /// The incarnation that was asked about. The answer does not hold for
-    /// another one.
-    int64_t IncarnationMs = 0;
-  };
-  /// What the advisory service has answered about one step.
-  struct StepAdvice {
-    std::unordered_map<EndpointId, EndpointAdvice> Endpoints;
-    bool IsInFlight = false; ///< A request is not answered yet.
-    TimePoint NotBefore;     ///< No new request earlier.
-  };
-  /// Endpoints in requests of a queue and how many of them were allowed,
-  /// without renewals. Starts with a few assumed answers.
-  struct AllowedCount {
-    double Asked = 8;
-    double Allowed = 4;
-  };
   /// A step with waiting tasks, and what decides when it is placed.
   struct BacklogStep {
     JobProgress *Job = nullptr;
@@ -129,10 +109,17 @@
     size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
   };
 
-  /// When no endpoint had room for a task.
-  struct FullFleet {
-    Resources Need;
-    TimePoint At;
+  /// A search for endpoints that a request about a step may name.
+  struct AdviceSearch {
+    const JobProgress &Job;
+    const StepKey &Key;
+    const StepAdvice &Advice;
+    const StepSpec &Step;
+    const std::string &Service;
+    TimePoint Now;
+    bool HasRoom = false; ///< An endpoint had room for a task.
+    /// So had one with the label that the step requires.
+    bool HasLabelledRoom = false;
   };
 
   /// A job and the version of its record that was written.
@@ -321,12 +308,27 @@
   /// Chooses the endpoints that a request about \p Key names and claims room
   /// there. Returns none if the step needs no tickets any more.
   std::vector<EndpointId> claimCandidates(const StepKey &Key);
-  std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
-                                                const StepKey &Key,
-                                                const StepAdvice &Advice);
-  /// True if no endpoint of \p Service had room for \p Need, or for less,
-  /// shortly before.
-  bool hasNoRoom(const std::string &Service, const Resources &Need);
+  AdviceSearch adviceSearch(const JobProgress &Job, const StepKey &Key,
+                            const StepAdvice &Advice) const;
+  std::vector<AdviceCandidate> adviceCandidates(AdviceSearch &Search);
+  /// Nothing if a request may not name \p Endpoint.
+  std::optional<AdviceCandidate> candidateOn(TrackedEndpoint &Endpoint,
+                                             AdviceSearch &Search);
+  /// False if a search would find no endpoint, as far as is known.
+  bool isSearchPromising(const JobProgress &Job, const StepKey &Key,
+                         StepAdvice &Advice);
+  /// True if no endpoint of \p Service had room for a task of \p Step, or for
+  /// a smaller one, shortly before.
+  bool hasNoRoom(const std::string &Service, const StepSpec &Step);
+  /// Records that \p Endpoint may have become a candidate for steps that found
+  /// none.
+  void noteGain(TrackedEndpoint &Endpoint) {
+    Endpoint.LatestGain = ++LatestGain;
+  }
+  /// Records a gain on each endpoint on which tasks may start again.
+  void noteUsableEndpoints();
+  /// Drops the claims of \p Key.
+  void removeClaims(const StepKey &Key);
   double allowedShare(const std::string &Queue) const;
   /// False if the answer names endpoints that were not asked about, one twice,
   /// or tickets that have expired.
@@ -388,7 +390,10 @@
   TeamRates Rates;
   std::map<StepKey, StepAdvice> StepAdvices;
   std::unordered_map<std::string, std::vector<FullFleet>>
-      NoRoomFor; ///< By service.
+      NoRoomFor;                ///< By service.
+  uint64_t LatestGain = 1;      ///< Number of the latest gain.
+  TimePoint UsableNotedAt;      ///< Time of the latest `noteUsableEndpoints`.
+  TimePoint NextRepeatedSearch; ///< The latest `StepAdvice::SearchAgainAt`.
   LostEndpoints Lost;
   RoomClaims Claims; ///< Of the steps whose requests for advice are open.
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
--- a/include/teaselwalk/cell/room_claims.hpp
+++ b/include/teaselwalk/cell/room_claims.hpp
@@ -19,8 +19,8 @@
 
   /// Sets the claims of \p Step.
   void set(const StepKey &Step, Rows Claims);
-  /// Drops the claims of \p Step, if there are any.
-  void remove(const StepKey &Step);
+  /// Drops and returns the claims of \p Step.
+  Rows remove(const StepKey &Step);
   /// Room on \p Endpoint that steps claim.
   Resources claimed(const EndpointId &Endpoint) const;
 
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -18,6 +18,12 @@
 constexpr Duration UnansweredPause{300};
 /// Pause of a step for which there is no endpoint to ask about.
 constexpr Duration NoCandidatePause{80};
+/// Steps for which there was none search all endpoints again one after the
+/// other, at least this long apart.
+constexpr Duration RepeatedSearchSpacing{5};
+/// Before that they look at endpoints with a gain. This is how often the owner
+/// checks which endpoints have become usable.
+constexpr Duration UsableCheckInterval{20};
 /// That no endpoint has room for a task is not checked again for this time.
 constexpr Duration NoRoomMemory{20};
 /// Lower bound of the share of endpoints that a queue is allowed.
@@ -64,59 +70,124 @@
 
 } // namespace
 
-Owner::StepAdvice *Owner::adviceFor(const JobProgress &Job,
-                                    const StepKey &Key) {
+StepAdvice *Owner::adviceFor(const JobProgress &Job, const StepKey &Key) {
   return policyOf(Job).NeedsAdvice ? &StepAdvices[Key] : nullptr;
 }
 
-std::vector<AdviceCandidate> Owner::adviceCandidates(const JobProgress &Job,
-                                                     const StepKey &Key,
-                                                     const StepAdvice &Advice) {
+Owner::AdviceSearch Owner::adviceSearch(const JobProgress &Job,
+                                        const StepKey &Key,
+                                        const StepAdvice &Advice) const {
+  return {Job,
+          Key,
+          Advice,
+          Job.Spec.Steps[static_cast<size_t>(Key.Step)],
+          policyOf(Job).Service,
+          Clock.now()};
+}
+
+std::vector<AdviceCandidate> Owner::adviceCandidates(AdviceSearch &Search) {
   Log.count("advice_plans");
-  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
-  const std::string &Service = policyOf(Job).Service;
-  TimePoint Now = Clock.now();
-  bool HasRoom = false;
   std::vector<AdviceCandidate> Result;
-  for (const auto &[Id, Endpoint] : Table) {
-    Resources Room = Endpoint.freeCapacity();
-    if (tasksThatFit(Step.Need, Room) == 0 ||
-        !mayStartOn(Endpoint, Service, Now) ||
-        isIsolated(Endpoint, Job.Spec.Id))
-      continue;
-    Room -= Claims.claimed(Id);
-    int64_t Places = tasksThatFit(Step.Need, Room);
-    if (Places == 0)
-      continue;
-    HasRoom = true;
-    auto Known = Advice.Endpoints.find(Id);
-    bool IsKnown = Known != Advice.Endpoints.end() &&
-                   Known->second.IncarnationMs == Endpoint.IncarnationMs;
-    bool IsRefused = IsKnown && !Known->second.IsAllowed;
-    if (IsRefused)
-      continue;
-    if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
-      continue;
-    if (Step.Opportunistic) {
-      Room.MilliCpu -= Endpoint.OpportunisticCpu;
-      Places = tasksThatFit(Step.Need, Room);
-    }
-    if (Step.MaxPerEndpoint > 0)
-      Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
-                                             countTasksOn(Endpoint, Key));
-    if (Places <= 0)
-      continue;
-    Duration TicketLeft =
-        IsKnown ? std::max(Duration(0), Known->second.ValidUntil - Now)
-                : Duration(0);
-    Result.push_back({Id, Places, score(Endpoint, Step), IsKnown, TicketLeft});
-  }
-  if (!HasRoom)
-    NoRoomFor[Service].push_back({Step.Need, Now});
+  for (auto &[Id, Endpoint] : Table)
+    if (std::optional<AdviceCandidate> Next = candidateOn(Endpoint, Search))
+      Result.push_back(std::move(*Next));
+  if (!Search.HasRoom)
+    NoRoomFor[Search.Service].push_back({Search.Step.Need, "", Search.Now});
+  else if (!Search.HasLabelledRoom)
+    NoRoomFor[Search.Service].push_back(
+        {Search.Step.Need, Search.Step.RequiredLabel, Search.Now});
   return Result;
 }
 
-bool Owner::hasNoRoom(const std::string &Service, const Resources &Need) {
+std::optional<AdviceCandidate> Owner::candidateOn(TrackedEndpoint &Endpoint,
+                                                  AdviceSearch &Search) {
+  const StepSpec &Step = Search.Step;
+  TimePoint Now = Search.Now;
+  Resources Room = Endpoint.freeCapacity();
+  if (tasksThatFit(Step.Need, Room) == 0)
+    return std::nullopt;
+  if (!mayStartOn(Endpoint, Search.Service, Now)) {
+    Endpoint.UsableIncarnationMs = 0;
+    return std::nullopt;
+  }
+  const EndpointId &Id = Endpoint.Info.Id;
+  Room -= Claims.claimed(Id);
+  int64_t Places = tasksThatFit(Step.Need, Room);
+  if (Places == 0)
+    return std::nullopt;
+  // A job may use room that is isolated for others, so that is no full fleet.
+  Search.HasRoom = true;
+  if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
+    return std::nullopt;
+  Search.HasLabelledRoom = true;
+  if (isIsolated(Endpoint, Search.Job.Spec.Id)) {
+    Endpoint.UsableIncarnationMs = 0;
+    return std::nullopt;
+  }
+  auto Known = Search.Advice.Endpoints.find(Id);
+  bool IsKnown = Known != Search.Advice.Endpoints.end() &&
+                 Known->second.IncarnationMs == Endpoint.IncarnationMs;
+  bool IsRefused = IsKnown && !Known->second.IsAllowed;
+  if (IsRefused)
+    return std::nullopt;
+  if (Step.Opportunistic) {
+    Room.MilliCpu -= Endpoint.OpportunisticCpu;
+    Places = tasksThatFit(Step.Need, Room);
+  }
+  if (Step.MaxPerEndpoint > 0)
+    Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
+                                           countTasksOn(Endpoint, Search.Key));
+  if (Places <= 0)
+    return std::nullopt;
+  Duration TicketLeft =
+      IsKnown ? std::max(Duration(0), Known->second.ValidUntil - Now)
+              : Duration(0);
+  return AdviceCandidate{Id, Places, score(Endpoint, Step), IsKnown,
+                         TicketLeft};
+}
+
+bool Owner::isSearchPromising(const JobProgress &Job, const StepKey &Key,
+                              StepAdvice &Advice) {
+  AdviceSearch Search = adviceSearch(Job, Key, Advice);
+  if (hasNoRoom(Search.Service, Search.Step))
+    return false;
+  if (Advice.SearchedUpTo == 0 || Advice.SearchAgainAt <= Search.Now)
+    return true;
+  noteUsableEndpoints();
+  if (Advice.SearchedUpTo < LatestGain)
+    for (auto &[Id, Endpoint] : Table)
+      if (Endpoint.LatestGain > Advice.SearchedUpTo &&
+          candidateOn(Endpoint, Search))
+        return true;
+  Advice.SearchedUpTo = LatestGain;
+  Advice.NotBefore = Search.Now + NoCandidatePause;
+  return false;
+}
+
+void Owner::noteUsableEndpoints() {
+  TimePoint Now = Clock.now();
+  if (Now - UsableNotedAt < UsableCheckInterval)
+    return;
+  UsableNotedAt = Now;
+  for (auto &[Id, Endpoint] : Table) {
+    bool IsUsable = mayStartOn(Endpoint, Endpoint.Info.Service, Now) &&
+                    !isIsolated(Endpoint, JobId());
+    int64_t IncarnationMs = IsUsable ? Endpoint.IncarnationMs : 0;
+    if (IsUsable && IncarnationMs != Endpoint.UsableIncarnationMs)
+      noteGain(Endpoint);
+    Endpoint.UsableIncarnationMs = IncarnationMs;
+  }
+}
+
+void Owner::removeClaims(const StepKey &Key) {
+  for (const auto &[Id, Room] : Claims.remove(Key)) {
+    auto Found = Table.find(Id);
+    if (Found != Table.end())
+      noteGain(Found->second);
+  }
+}
+
+bool Owner::hasNoRoom(const std::string &Service, const StepSpec &Step) {
   auto Found = NoRoomFor.find(Service);
   if (Found == NoRoomFor.end())
     return false;
@@ -127,7 +198,8 @@
                  [Oldest](const FullFleet &Row) { return Row.At < Oldest; }),
              Seen.end());
   return std::any_of(Seen.begin(), Seen.end(), [&](const FullFleet &Row) {
-    return fits(Row.Need, Need);
+    return (Row.Label.empty() || Row.Label == Step.RequiredLabel) &&
+           fits(Row.Need, Step.Need);
   });
 }
 
@@ -158,8 +230,7 @@
   TimePoint Now = Clock.now();
   if (Advice.IsInFlight || Advice.NotBefore > Now)
     return;
-  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
-  if (hasNoRoom(policyOf(Job).Service, Step.Need))
+  if (!isSearchPromising(Job, Key, Advice))
     return;
   AdviceNeed Need = adviceNeed(Job, Key);
   AdviceRequest Asked;
@@ -178,19 +249,26 @@
 }
 
 std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key) {
-  Claims.remove(Key);
+  removeClaims(Key);
   const JobProgress *Job = jobOf(Key.Job);
   auto Found = StepAdvices.find(Key);
   if (Job == nullptr || Found == StepAdvices.end())
     return {};
   AdviceNeed Need = adviceNeed(*Job, Key);
-  const StepSpec &Step = Job->Spec.Steps[static_cast<size_t>(Key.Step)];
-  if (Need.Tasks == 0 || hasNoRoom(policyOf(*Job).Service, Step.Need))
+  StepAdvice &Advice = Found->second;
+  if (Need.Tasks == 0 || !isSearchPromising(*Job, Key, Advice))
     return {};
-  std::vector<AdviceCandidate> Candidates =
-      adviceCandidates(*Job, Key, Found->second);
+  AdviceSearch Search = adviceSearch(*Job, Key, Advice);
+  std::vector<AdviceCandidate> Candidates = adviceCandidates(Search);
+  Advice.SearchedUpTo = 0;
+  if (Candidates.empty()) {
+    Advice.SearchedUpTo = LatestGain;
+    NextRepeatedSearch = std::max(Search.Now + NoCandidatePause,
+                                  NextRepeatedSearch + RepeatedSearchSpacing);
+    Advice.SearchAgainAt = NextRepeatedSearch;
+  }
   std::vector<EndpointId> Named = planAdvice(Need, Candidates);
-  Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
+  Claims.set(Key, claimsOf(Need, Search.Step, Candidates, Named));
   return Named;
 }
 
@@ -209,7 +287,7 @@
   TimePoint Now = Clock.now();
   bool IsAnswered = Result.Outcome == AdviceOutcome::Answered;
   bool IsMalformed = IsAnswered && !isUsable(Asked, Result);
-  Claims.remove(Key);
+  removeClaims(Key);
   if (Result.Outcome != AdviceOutcome::Dropped)
     Log.event(EventName::AdviceAnswered,
               {{"job", Key.Job.str()},
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -339,6 +339,7 @@
     return;
   const StepSpec &Step = Job.stepOf(Key);
   TrackedEndpoint &Endpoint = Found->second;
+  noteGain(Endpoint);
   Endpoint.Reserved -= reservedResources(Step);
   TeamUsage[Job.Spec.Team] -= Step.Need;
   Endpoint.ServingTasks -= Step.TailTarget.count() > 0 ? 1 : 0;
--- a/src/teaselwalk/cell/room_claims.cpp
+++ b/src/teaselwalk/cell/room_claims.cpp
@@ -9,17 +9,19 @@
   ByStep[Step] = std::move(Claims);
 }
 
-void RoomClaims::remove(const StepKey &Step) {
+RoomClaims::Rows RoomClaims::remove(const StepKey &Step) {
   auto Found = ByStep.find(Step);
   if (Found == ByStep.end())
-    return;
+    return {};
   for (const auto &[Endpoint, Room] : Found->second) {
     auto Sum = Total.find(Endpoint);
     Sum->second -= Room;
     if (Sum->second == Resources())
       Total.erase(Sum);
   }
+  Rows Removed = std::move(Found->second);
   ByStep.erase(Found);
+  return Removed;
 }
 
 Resources RoomClaims::claimed(const EndpointId &Endpoint) const {
