cell: no advice is asked about endpoints with less capacity than is reserved

What callers could see: a job that waits while advice is asked about an endpoint on which it is never placed, and requests of others wait for it.

Cause: a plan ignored resources that the step does not need; a placement rejects an endpoint of which any resource has shrunk below what is reserved.

Change: a plan leaves out such endpoints too. Claims of other steps do not count for this, only what is reserved.

--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -104,7 +104,9 @@
   const StepSpec &Step = Search.Step;
   TimePoint Now = Search.Now;
   Resources Room = Endpoint.freeCapacity();
-  if (tasksThatFit(Step.Need, Room) == 0)
+  // Nothing is placed on an endpoint whose capacity has shrunk below what is
+  // reserved, also if the step does not need the resource.
+  if (hasNegative(Room) || tasksThatFit(Step.Need, Room) == 0)
     return std::nullopt;
   if (!mayStartOn(Endpoint, Search.Service, Now)) {
     Endpoint.UsableIncarnationMs = 0;
--- a/src/teaselwalk/cell/owner_capacity_test.cpp
+++ b/src/teaselwalk/cell/owner_capacity_test.cpp
@@ -59,6 +59,41 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against requests for advice without end about an endpoint that has too
+// little left of a resource which the step does not need.
+TEST_F(OwnerCapacityTest, NoAdviceAboutAnEndpointWithoutAnyRoom) {
+  for (int64_t Resources::*Shrunk :
+       {&Resources::MemoryMb, &Resources::Accelerators}) {
+    FakeWorld Fresh;
+    Fresh.requireAdvice();
+    Resources Before = {8000, 8000, 2, 0, 0};
+    Fresh.addEndpoints(1, Before);
+    Fresh.addProcesses(1);
+    Fresh.Clock.runFor(SettleTime);
+    Fresh.Cluster.DefaultWork.RunsUntilStopped = true;
+    JobSpec First = Fresh.job(1, {Fresh.step(1, 2000)});
+    First.Steps[0].Need.*Shrunk = 2;
+    JobSpec Second = Fresh.job(2, {Fresh.step(1, 1000)});
+    Second.Steps[0].Need.MemoryMb = 0;
+    Fresh.send(0, CallerAction::Submit, First);
+    Fresh.Clock.runFor(Duration(1000));
+    ASSERT_EQ(Fresh.Cluster.Starts, 1);
+    Fresh.Cluster.Machines[Only].Info.Capacity.*Shrunk = 1;
+    Fresh.listEndpoint(Only);
+    Fresh.Clock.runFor(RelistTime);
+    size_t Requests = Fresh.Advisory.Requests.size();
+    Fresh.send(0, CallerAction::Submit, Second);
+    Fresh.Clock.runFor(Duration(10000));
+    EXPECT_EQ(Fresh.Advisory.Requests.size(), Requests);
+    EXPECT_EQ(Fresh.Cluster.Starts, 1);
+    Fresh.Cluster.Machines[Only].Info.Capacity = Before;
+    Fresh.listEndpoint(Only);
+    Fresh.Clock.runFor(RelistTime + Duration(700));
+    EXPECT_EQ(Fresh.Cluster.Starts, 2);
+    EXPECT_EQ(Fresh.violations(), "");
+  }
+}
+
 // Guards against a start that was assigned while there was room for it and is
 // sent after the capacity has shrunk.
 TEST_F(OwnerCapacityTest, AssignedStartsAreGivenBackIfTheCapacityShrinks) {
