platform: a list of the store goes on while its pages are answered in time

What callers could see: after a takeover with many kept jobs, or over a slow link, no job is scheduled any more.

Cause: one time limit (3 s when the state is loaded, 1.5 s in a mirror) held for all pages of a list together. A list that takes longer was dropped and begun anew, for ever.

Change: the time limit holds for each page.

--- a/include/teaselwalk/cell/ports.hpp
+++ b/include/teaselwalk/cell/ports.hpp
@@ -117,8 +117,9 @@
   virtual void read(const std::string &Key, Duration Timeout,
                     std::function<void(StoreItems)> Done) = 0;
   /// Lists all items under \p Prefix, page by page. Not a snapshot: later pages
-  /// may be newer. `AtRevision` is that of the first page.
-  virtual void list(const std::string &Prefix, Duration Timeout,
+  /// may be newer. `AtRevision` is that of the first page. The list fails if a
+  /// page is not answered within \p PageTimeout.
+  virtual void list(const std::string &Prefix, Duration PageTimeout,
                     std::function<void(StoreItems)> Done) = 0;
   /// Returns the changes under \p Prefix after \p Revision. Long poll: if there
   /// is none yet, the store waits for one for up to \p Wait.
--- a/include/teaselwalk/cell/store_mirror.hpp
+++ b/include/teaselwalk/cell/store_mirror.hpp
@@ -21,7 +21,7 @@
   Duration RelistInterval{4000};
   /// Pause before a failed call is repeated.
   Duration RetryPause{150};
-  Duration ListTimeout{1500};
+  Duration PageTimeout{1500}; ///< For each page of a listing.
   /// False: the prefix is only listed, every `RelistInterval`. For prefixes
   /// that change all the time.
   bool IsWatched = true;
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -10,7 +10,7 @@
 namespace teaselwalk::cell {
 namespace {
 
-constexpr Duration LoadTimeout{3000};
+constexpr Duration LoadPageTimeout{3000};
 constexpr Duration LoadRetry{150};
 constexpr Duration RemoveInterval{1000};
 /// A new owner connects to all endpoints. More at a time would keep it from
@@ -63,7 +63,7 @@
 
 void Owner::loadState() {
   Storage.list(
-      StatePrefix, LoadTimeout, guarded([this](StoreItems Result) {
+      StatePrefix, LoadPageTimeout, guarded([this](StoreItems Result) {
         if (Result.Outcome != StoreOutcome::Done) {
           Clock.after(LoadRetry, guarded([this] { loadState(); }));
           return;
--- a/src/teaselwalk/cell/store_mirror.cpp
+++ b/src/teaselwalk/cell/store_mirror.cpp
@@ -26,7 +26,7 @@
 void StoreMirror::list() {
   TimePoint SentAt = Clock.now();
   Storage.list(
-      Options.Prefix, Options.ListTimeout,
+      Options.Prefix, Options.PageTimeout,
       [this, SentAt, Token = std::weak_ptr<char>(Alive)](const StoreItems &R) {
         if (!Token.expired())
           onList(R, SentAt);
