cell: records of ended jobs are removed with the entries that writes have left

What callers could see: the longer an installation runs at more than 10 jobs a second, the longer a takeover takes; the store and the memory of the owner grow without bound.

Cause: one write a second removed the records of at most 10 jobs. It looked at 10 jobs in turn, so those that are still kept used up its turns.

Change: each write of changed records removes records of ended jobs with the entries that it has left, which costs no further write. Ended jobs are ordered by the time of their end, so kept ones are not looked at. A job whose record is part of the same write is left for a later one. While every write is full, nothing is removed.

Tests: OwnerRetentionTest.RecordsAreRemovedAsFastAsJobsEnd, 100 jobs a second for 30 s, kept for 12 s, 1 s of margin; on the unchanged code: owner_retention_test.cpp:66: Failure Expected: (Load.storedItems(JobPrefix)) <= (MostJobs), actual: 2832 vs 1320 Now it passes. RemovalsDoNotDelayStarts and NothingIsLeftOfEndedJobs pass before and after.

Partial: while every write is full nothing is removed.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -129,6 +129,7 @@
     std::vector<RecordVersion> Separate; ///< Each under the key of its job.
     std::string Bundle;                  ///< Key of the bundle; empty: none.
     std::vector<RecordVersion> Bundled;  ///< Together under the key `Bundle`.
+    std::vector<JobId> Removed;          ///< Jobs of which nothing is left.
   };
 
   /// The records of one job in the store; the newer one counts.
@@ -151,7 +152,12 @@
   void onEndpointItem(const StoreItem &Item);
   /// Delay of the first renewal at an endpoint that was just listed.
   Duration firstContactDelay();
+  /// Adds removals of the records of ended jobs that are no longer kept, as far
+  /// as the write has entries left.
+  void addRemovals(StoreTransaction &Change, StoreWrite &Next);
+  /// Removes records in a write of its own if nothing else is to be written.
   void removeEndedJobs();
+  void dropRemoved(const std::vector<JobId> &Removed);
 
   // owner_store.cpp
   void markChanged(JobProgress &Job);
@@ -161,6 +167,7 @@
   /// Removes and returns the first job of `WriteQueue`; null if there is none.
   const JobProgress *takeNextChanged();
   void writeChanged();
+  void commitWrite(StoreTransaction Change, StoreWrite Next);
   void onWritten(const StoreWrite &Stored);
   /// Lets \p Endpoint forget the ends whose effects are stored. False if it
   /// must keep some.
@@ -402,9 +409,11 @@
   int64_t NextBundle = 1;       ///< Number in the key of the next bundle.
   std::deque<JobId> WriteQueue; ///< Jobs whose records must be written.
   std::unordered_set<JobId> InWriteQueue; ///< The same jobs, for look-up.
-  std::deque<JobId> ToRemove; ///< Ended jobs with records in the store.
-  TimePoint NextContactAt;    ///< Time of the latest first renewal that is due.
-  int ContactsThen = 0;       ///< First renewals that are due at that time.
+  /// Ended jobs with records in the store and when they ended, on the wall
+  /// clock in ms.
+  std::set<std::pair<int64_t, JobId>> ToRemove;
+  TimePoint NextContactAt; ///< Time of the latest first renewal that is due.
+  int ContactsThen = 0;    ///< First renewals that are due at that time.
   bool IsLoaded = false;
   bool IsPassRequested = false;
   TimePoint NextPassAt; ///< When the requested pass is due.
@@ -416,7 +425,6 @@
   bool AreTasksHeldBack = false; ///< The latest pass has reached the limit.
   PassState Pass;
   Duration LastPassTime{0};
-  TimePoint RemovedAt; ///< When records were last removed.
   Lifetime Alive;
 };
 
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -12,7 +12,6 @@
 
 constexpr Duration LoadPageTimeout{3000};
 constexpr Duration LoadRetry{150};
-constexpr Duration RemoveInterval{1000};
 /// A new owner connects to all endpoints. More at a time would keep it from
 /// renewing its own lease and answering probes on a small VM.
 constexpr int FirstContactsPerMs = 2;
@@ -20,7 +19,7 @@
 /// early.
 constexpr Duration ClockJumpMargin{10000};
 /// A job has three keys: the job, its cancellation and its progress.
-constexpr size_t RemovesPerWrite = FencedWriter::Capacity / 3;
+constexpr size_t KeysPerJob = 3;
 
 StoreMirrorOptions intakeOptions() {
   StoreMirrorOptions Options;
@@ -57,7 +56,7 @@
       Discovery(Clock, Storage, Log, discoveryOptions(Options.EndpointPrefix),
                 [this](const StoreItem &Item) { onEndpointItem(Item); }),
       Dispatcher(Clock, AdvisoryService, Log),
-      HighestToken(Epoch * TokensPerEpoch + 1), RemovedAt(Clock.now()) {}
+      HighestToken(Epoch * TokensPerEpoch + 1) {}
 
 void Owner::start() { loadState(); }
 
@@ -137,7 +136,7 @@
     if (!Job.isEnded())
       Open.add(Job);
     else
-      ToRemove.push_back(Id);
+      ToRemove.emplace(Job.EndedMs, Id);
   } catch (const Error &Failure) {
     Log.event(EventName::RecordMalformed,
               {{"job", Id.str()}, {"reason", Failure.what()}});
@@ -259,44 +258,50 @@
   return NextContactAt - Now;
 }
 
-void Owner::removeEndedJobs() {
-  TimePoint Now = Clock.now();
-  if (Writer.isBusy() || ToRemove.empty() || Now - RemovedAt < RemoveInterval)
-    return;
-  RemovedAt = Now;
+void Owner::addRemovals(StoreTransaction &Change, StoreWrite &Next) {
   int64_t Limit =
       Clock.wallMillis() - (Options.StatusKept + ClockJumpMargin).count();
-  StoreTransaction Change;
-  std::vector<JobId> Removed;
-  size_t Count = std::min(ToRemove.size(), RemovesPerWrite);
-  for (size_t I = 0; I < Count; ++I) {
-    JobId Id = ToRemove.front();
-    ToRemove.pop_front();
-    JobProgress *Job = jobOf(Id);
-    if (Job == nullptr)
-      continue;
-    bool IsKept = Job->EndedMs > Limit || Job->StoredVersion < Job->Version;
-    if (IsKept) {
-      ToRemove.push_back(Id);
+  auto HasRoom = [&Change] {
+    return Change.Puts.size() + Change.Removes.size() + KeysPerJob <=
+           FencedWriter::Capacity;
+  };
+  // A record that moves out of a bundle is put although its job is unchanged.
+  auto IsPut = [&Next](const JobId &Id) {
+    return std::any_of(
+        Next.Separate.begin(), Next.Separate.end(),
+        [&](const RecordVersion &Row) { return Row.first == Id; });
+  };
+  auto It = ToRemove.begin();
+  while (It != ToRemove.end() && It->first <= Limit && HasRoom()) {
+    const JobId &Id = It->second;
+    const JobProgress *Job = jobOf(Id);
+    if (Job != nullptr && (Job->StoredVersion < Job->Version || IsPut(Id))) {
+      ++It;
       continue;
     }
-    Removed.push_back(Id);
+    Next.Removed.push_back(Id);
     Change.Removes.push_back(jobKey(Id));
     Change.Removes.push_back(cancelKey(Id));
     Change.Removes.push_back(stateKey(Id));
+    It = ToRemove.erase(It);
   }
-  if (Removed.empty())
+}
+
+void Owner::removeEndedJobs() {
+  if (Writer.isBusy() || !WriteQueue.empty())
     return;
-  Writer.commit(std::move(Change), guarded([this, Removed](bool IsDone) {
-                  if (!IsDone)
-                    return Hooks.OwnershipLost(
-                        "the epoch record names another owner");
-                  for (const JobId &Id : Removed) {
-                    Jobs.erase(Id);
-                    Log.event(EventName::JobRemoved, {{"job", Id.str()}});
-                  }
-                  writeChanged();
-                }));
+  StoreTransaction Change;
+  StoreWrite Next;
+  addRemovals(Change, Next);
+  if (!Next.Removed.empty())
+    commitWrite(std::move(Change), std::move(Next));
+}
+
+void Owner::dropRemoved(const std::vector<JobId> &Removed) {
+  for (const JobId &Id : Removed) {
+    Jobs.erase(Id);
+    Log.event(EventName::JobRemoved, {{"job", Id.str()}});
+  }
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -80,15 +80,21 @@
     std::string Value = encodeBundle(Next, MaxWriteBytes - Bytes);
     Change.Puts.push_back({Next.Bundle, std::move(Value), 0});
   }
+  // Removals use what is left, so they cost no writes and delay none.
+  addRemovals(Change, Next);
   Log.count("journal_writes");
   Log.count("journal_records",
             static_cast<int64_t>(Next.Separate.size() + Next.Bundled.size()));
-  Writer.commit(std::move(Change), guarded([this, Next](bool IsDone) {
-                  if (!IsDone)
-                    return Hooks.OwnershipLost(
-                        "the epoch record names another owner");
-                  onWritten(Next);
-                }));
+  commitWrite(std::move(Change), std::move(Next));
+}
+
+void Owner::commitWrite(StoreTransaction Change, StoreWrite Next) {
+  auto Done = [this, Next = std::move(Next)](bool IsDone) {
+    if (!IsDone)
+      return Hooks.OwnershipLost("the epoch record names another owner");
+    onWritten(Next);
+  };
+  Writer.commit(std::move(Change), guarded(std::move(Done)));
 }
 
 void Owner::onWritten(const StoreWrite &Stored) {
@@ -116,6 +122,7 @@
     bool IsDone = Found == Table.end() || acknowledgeStoredEnds(Found->second);
     It = IsDone ? WithUnacknowledgedEnds.erase(It) : std::next(It);
   }
+  dropRemoved(Stored.Removed);
   if (!WriteQueue.empty())
     requestWrite();
 }
@@ -138,7 +145,7 @@
   Job.Status = Status;
   Job.EndedMs = Clock.wallMillis();
   Open.remove(Job);
-  ToRemove.push_back(Job.Spec.Id);
+  ToRemove.emplace(Job.EndedMs, Job.Spec.Id);
   for (size_t K = 0; K < Job.Occurrences.size(); ++K)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
       StepKey Key{Job.Spec.Id, static_cast<int32_t>(K),
