http: submissions do not delay the renewal of the owner's lease

What callers could see: while the store answers slowly, a burst of submissions to the owner's process ends its ownership although the store is up; nothing is scheduled during the takeover.

Cause: requests of callers used the same connections to the store (24) as the renewals of the owner's lease and of the registration, the owner's writes and its watches, in the order of their arrival. With 1,000 submissions that wait, a renewal ended unsent after its limit of 0.4 s.

Change: connections belong to a peer and a kind. Requests of the new kind Control have connections of their own, and up to 8 of the client's connections are kept from the others. All calls to the store are Control but those of the request handler.

That a process uses the two kinds as meant is not tested.

--- a/include/teaselwalk/cell/scheduler_core.hpp
+++ b/include/teaselwalk/cell/scheduler_core.hpp
@@ -28,7 +28,9 @@
   /// The same clock for the timers of what keeps the process registered and the
   /// ownership alive. They do not wait for a backlog of timers of `Clock`.
   Executor &ControlClock;
+  /// For what keeps the process registered and the ownership alive.
   Store &Storage;
+  Store &CallerStorage; ///< The same store for the requests of callers.
   EndpointCalls &Endpoints;
   Advisor &AdvisoryService;
   PeerCalls &Peers;
--- a/include/teaselwalk/http/client.hpp
+++ b/include/teaselwalk/http/client.hpp
@@ -11,16 +11,19 @@
 
 namespace teaselwalk::http {
 
-/// Decides how many connections a peer may have.
+/// Decides how many connections a peer may have. A kind keeps connections from
+/// those before it.
 enum class PeerKind {
-  Service,  ///< One of a few peers, such as the store.
   Endpoint, ///< One of many peers of which each is rarely used.
+  Service,  ///< One of a few peers, such as the store.
+  Control,  ///< A service for requests that must not wait for others to it.
 };
 
 /// Beyond the bounds on connections, requests wait for one.
 struct ClientOptions {
   size_t MaxBodyBytes = 4194304; ///< A larger answer counts as lost.
-  /// Open at the same time to all peers. An eighth is kept for services.
+  /// Open at the same time to all peers. An eighth is kept from endpoints, and
+  /// a few from all but control requests.
   size_t MaxConnections = 4096;
   size_t MaxConnectionsPerPeer = 64;    ///< To one service.
   size_t MaxConnectionsPerEndpoint = 6; ///< To one endpoint.
@@ -58,8 +61,8 @@
 
   /// Thread-safe. Calls \p Done exactly once, on the thread of `run()`, unless
   /// the client is destroyed first. The
-  /// timeout covers waiting for a connection, sending and the answer. An
-  /// address keeps the kind of its first request.
+  /// timeout covers waiting for a connection, sending and the answer. Requests
+  /// of different kinds to one address share no connections.
   void send(const protocol::Address &Peer, const Request &Message,
             Duration Timeout, Callback Done, PeerKind Kind = PeerKind::Service);
 
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -356,8 +356,8 @@
     return World.Cluster.Jobs.at(JobId(Body));
   };
   Core = std::make_unique<SchedulerCore>(
-      Dependencies{Clock, Clock.control(), Store, Endpoints, AdvisoryService,
-                   Peers, Log},
+      Dependencies{Clock, Clock.control(), Store, Store, Endpoints,
+                   AdvisoryService, Peers, Log},
       std::move(Options));
 }
 
--- a/src/teaselwalk/http/client_connections_test.cpp
+++ b/src/teaselwalk/http/client_connections_test.cpp
@@ -27,9 +27,8 @@
     Bounded.Ip = "0.0.0.0";
     Bounded.MaxConnections = ServerBound;
     Running = std::make_unique<Server>(
-        Bounded, [](const Request &Seen, const Responder &To) {
-          To.send({200, Seen.Body});
-        });
+        Bounded,
+        [this](const Request &Seen, const Responder &To) { Handle(Seen, To); });
     Sender = std::make_unique<Client>(Options);
     ServerThread = std::thread([this] { Running->run(); });
     SenderThread = std::thread([this] { Sender->run(); });
@@ -69,6 +68,10 @@
     return Answered;
   }
 
+  std::vector<Responder> Unanswered;
+  Server::Handler Handle = [](const Request &Seen, const Responder &To) {
+    To.send({200, Seen.Body});
+  };
   std::unique_ptr<Server> Running;
   std::unique_ptr<Client> Sender;
   std::thread ServerThread;
@@ -119,6 +122,31 @@
               std::future_status::timeout);
 }
 
+// Guards against an ownership that ends although the store is up: the renewal
+// of its lease waits behind requests that the store answers slowly.
+TEST_F(ClientConnectionsTest, ControlRequestsDoNotWaitForOthersOfTheSamePeer) {
+  constexpr Duration RenewalTimeout{400};
+  constexpr int Submissions = 1000;
+  Handle = [this](const Request &Seen, const Responder &To) {
+    if (Seen.Target == "/submit")
+      return Unanswered.push_back(To);
+    To.send({200, ""});
+  };
+  ClientOptions Options;
+  Options.MaxConnections = 24;
+  Options.MaxConnectionsPerPeer = 24;
+  start(Options, 1000);
+  Request Submission{"POST", "/submit"};
+  for (int I = 0; I < Submissions; ++I)
+    Sender->send(address(0), Submission, LongTimeout, [](const Result &) {});
+  std::promise<Delivery> Renewed;
+  Sender->send(
+      address(0), {"POST", "/renew"}, RenewalTimeout,
+      [&](const Result &Got) { Renewed.set_value(Got.State); },
+      PeerKind::Control);
+  EXPECT_EQ(Renewed.get_future().get(), Delivery::Answered);
+}
+
 // Guards against a peer that never gets a connection because others keep
 // theirs busy.
 TEST_F(ClientConnectionsTest, BusyPeersMakeWayForOnesWithoutConnection) {
--- a/src/teaselwalk/http/connection.cpp
+++ b/src/teaselwalk/http/connection.cpp
@@ -11,8 +11,15 @@
 namespace {
 
 constexpr int GenerationShift = 32;
-/// One of this many connections is kept for services.
+/// One of this many connections is kept from endpoints.
 constexpr size_t ServiceShare = 8;
+/// Connections that are kept for control requests, at most one of
+/// `ServiceShare`.
+constexpr size_t ControlConnections = 8;
+
+/// In the order in which their idle connections are closed.
+constexpr std::array<PeerKind, PeerKindCount> AllKinds = {
+    PeerKind::Endpoint, PeerKind::Service, PeerKind::Control};
 
 uint64_t tagOf(ConnectionId Id, uint32_t Generation) {
   return static_cast<uint64_t>(Generation) << GenerationShift | Id;
@@ -59,25 +66,28 @@
 
 bool hasFailed(const Descriptor &Socket) { return errorOf(Socket) != 0; }
 
-ConnectionPool::ConnectionPool(const ClientOptions &Options)
-    : MaxConnections(Options.MaxConnections) {
+ConnectionPool::ConnectionPool(const ClientOptions &Options) {
+  size_t Share = Options.MaxConnections / ServiceShare;
+  KindState &Control = kind(PeerKind::Control);
+  Control.MaxPerPeer = Options.MaxConnectionsPerPeer;
+  Control.MaxOpen = Options.MaxConnections;
   KindState &Services = kind(PeerKind::Service);
   Services.MaxPerPeer = Options.MaxConnectionsPerPeer;
-  Services.MaxOpen = MaxConnections;
+  Services.MaxOpen = Control.MaxOpen - std::min(ControlConnections, Share);
   KindState &Endpoints = kind(PeerKind::Endpoint);
   Endpoints.MaxPerPeer = Options.MaxConnectionsPerEndpoint;
-  Endpoints.MaxOpen = MaxConnections - MaxConnections / ServiceShare;
+  Endpoints.MaxOpen = Services.MaxOpen - Share;
 }
 
 Peer *ConnectionPool::peer(const protocol::Address &At, PeerKind Kind) {
-  auto Known = Peers.find(At);
+  auto Known = Peers.find({At, Kind});
   if (Known != Peers.end())
     return &Known->second;
   boost::system::error_code Failure;
   auto Ip = boost::asio::ip::make_address(At.Ip, Failure);
   if (Failure)
     return nullptr;
-  Peer &Added = Peers[At];
+  Peer &Added = Peers[{At, Kind}];
   Added.Endpoint = {Ip, At.Port};
   Added.Kind = Kind;
   return &Added;
@@ -88,25 +98,29 @@
          Target.Open < kind(Target.Kind).MaxPerPeer;
 }
 
-size_t ConnectionPool::openConnections() const {
-  return Connections.size() - Free.size();
+bool ConnectionPool::isFull(PeerKind Last) const {
+  size_t Open = 0;
+  for (PeerKind Kind : AllKinds)
+    if (Kind <= Last)
+      Open += kind(Kind).Open;
+  return Open >= kind(Last).MaxOpen;
 }
 
 bool ConnectionPool::makeRoom(PeerKind Kind) {
-  const KindState &State = kind(Kind);
-  if (State.Open >= State.MaxOpen)
-    return closeOldestIdle(Kind);
-  return openConnections() < MaxConnections ||
-         closeOldestIdle(PeerKind::Endpoint) ||
-         closeOldestIdle(PeerKind::Service);
+  return std::all_of(AllKinds.begin(), AllKinds.end(), [&](PeerKind Last) {
+    return Last < Kind || !isFull(Last) || closeOldestIdle(Last);
+  });
 }
 
-bool ConnectionPool::closeOldestIdle(PeerKind Kind) {
-  ConnectionId Id = kind(Kind).OldestIdle;
-  if (Id == NoConnection)
-    return false;
-  close(Id);
-  return true;
+bool ConnectionPool::closeOldestIdle(PeerKind Last) {
+  for (PeerKind Kind : AllKinds) {
+    ConnectionId Id = kind(Kind).OldestIdle;
+    if (Kind > Last || Id == NoConnection)
+      continue;
+    close(Id);
+    return true;
+  }
+  return false;
 }
 
 void ConnectionPool::starve(Peer &Target) {
@@ -115,7 +129,8 @@
 }
 
 Peer *ConnectionPool::takeStarved() {
-  for (PeerKind Kind : {PeerKind::Service, PeerKind::Endpoint}) {
+  for (PeerKind Kind :
+       {PeerKind::Control, PeerKind::Service, PeerKind::Endpoint}) {
     std::deque<Peer *> &Starved = kind(Kind).Starved;
     if (Starved.empty() || !makeRoom(Kind))
       continue;
@@ -214,7 +229,7 @@
 }
 
 void ConnectionPool::forEachPeer(const std::function<void(Peer &)> &Visit) {
-  for (auto &[At, Target] : Peers)
+  for (auto &[Key, Target] : Peers)
     Visit(Target);
 }
 
--- a/src/teaselwalk/http/connection.hpp
+++ b/src/teaselwalk/http/connection.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace teaselwalk::http {
@@ -24,7 +25,7 @@
 using ConnectionId = uint32_t;
 
 constexpr ConnectionId NoConnection = UINT32_MAX;
-constexpr size_t PeerKindCount = 2;
+constexpr size_t PeerKindCount = 3;
 
 /// One request on its way, from `send()` to its callback.
 struct Exchange {
@@ -39,7 +40,7 @@
 /// In the order of the rows of `StateRows`.
 enum class ConnectionState { Closed, Connecting, Idle, Exchanging };
 
-/// Connections to one address and the requests that wait for one.
+/// Connections of one kind to one address and the requests that wait for one.
 struct Peer {
   boost::asio::ip::tcp::endpoint Endpoint;
   PeerKind Kind = PeerKind::Service;
@@ -120,16 +121,19 @@
   void eraseUnusedPeers();
 
 private:
-  struct AddressHash {
-    size_t operator()(const protocol::Address &Value) const {
-      return std::hash<std::string>()(Value.Ip) * 31 + Value.Port;
+  using PeerKey = std::pair<protocol::Address, PeerKind>;
+  struct PeerKeyHash {
+    size_t operator()(const PeerKey &Value) const {
+      const auto &[At, Kind] = Value;
+      size_t Hash = std::hash<std::string>()(At.Ip) * 31 + At.Port;
+      return Hash * PeerKindCount + static_cast<size_t>(Kind);
     }
   };
 
   /// All peers of one kind.
   struct KindState {
     size_t MaxPerPeer = 0;
-    size_t MaxOpen = 0;
+    size_t MaxOpen = 0; ///< Together with the kinds before it.
     size_t Open = 0;
     ConnectionId OldestIdle = NoConnection;
     ConnectionId NewestIdle = NoConnection;
@@ -140,13 +144,15 @@
   const KindState &kind(PeerKind Kind) const {
     return Kinds[static_cast<size_t>(Kind)];
   }
-  size_t openConnections() const;
-  bool closeOldestIdle(PeerKind Kind);
+  /// True if \p Last and the kinds before it have as many connections as they
+  /// may have.
+  bool isFull(PeerKind Last) const;
+  /// Closes an idle connection of the first kind up to \p Last that has one.
+  bool closeOldestIdle(PeerKind Last);
   void unlinkIdle(ConnectionId Id);
 
-  const size_t MaxConnections;
   std::array<KindState, PeerKindCount> Kinds;
-  std::unordered_map<protocol::Address, Peer, AddressHash> Peers;
+  std::unordered_map<PeerKey, Peer, PeerKeyHash> Peers;
   /// A deque keeps references valid while connections are added.
   std::deque<Connection> Connections;
   std::vector<ConnectionId> Free;
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -91,13 +91,15 @@
 public:
   explicit Impl(const NodeSettings &Given)
       : Settings(Given), Log(Threads, logOptions()), Events(Registry),
-        Store(ControlSender, Given.Store, corePoster(Lane::Control)),
+        Store(ControlSender, Given.Store, corePoster(Lane::Control),
+              http::PeerKind::Control),
+        CallerStore(ControlSender, Given.Store, corePoster(Lane::Control)),
         Endpoints(Sender, corePoster(Lane::Bulk)),
         LocalAdvisor(Sender, Given.Advisor, corePoster(Lane::Bulk)),
         Peers(ControlSender, Sender, Core),
         AdvisoryService(LocalAdvisor, Peers),
-        Scheduler({Core, Core.control(), Store, Endpoints, AdvisoryService,
-                   Peers, Events},
+        Scheduler({Core, Core.control(), Store, CallerStore, Endpoints,
+                   AdvisoryService, Peers, Events},
                   schedulerOptions()),
         OwnerProbes(Scheduler.processId(), Core),
         CallerServer(
@@ -299,6 +301,7 @@
   /// For endpoints, the advisory service and queries of callers.
   http::Client Sender{clientOptions(Settings.MaxDescriptors)};
   adapter::PlatformStore Store;
+  adapter::PlatformStore CallerStore;
   adapter::PlatformEndpoints Endpoints;
   adapter::PlatformAdvisor LocalAdvisor;
   HttpPeerCalls Peers;
