cell: a plan of an advice request examines endpoints with room only

What was seen: in a burst on a large site (1,100 endpoints, 150 to 300 plans a second) a quarter of the owner's time goes into scheduling passes, half of that into plans, so passes are long and rare and quick work becomes late.

Cause: a plan walked over a hash map of all endpoints, whose entries are far apart in memory, and made a candidate with a copy of the id for each endpoint with room.

Change: `EndpointTable` keeps a row of each endpoint with its free room in one array, which is updated with each reservation and change of the capacity. A plan (`AdviceSearch`) compares the room first; the other checks read the present state, so nothing is kept for a time. Candidates refer to their ids.

The candidates of AdvicePlanTest refer to ids; what it expects is unchanged.

--- a/include/teaselwalk/cell/advice_plan.hpp
+++ b/include/teaselwalk/cell/advice_plan.hpp
@@ -11,7 +11,7 @@
 
 /// An endpoint with room for tasks of a step that needs tickets.
 struct AdviceCandidate {
-  EndpointId Id;
+  const EndpointId *Id = nullptr;
   int64_t Places = 0;     ///< Tasks of the step that fit there.
   double Score = 0;       ///< Lower ones are preferred.
   bool IsAllowed = false; ///< An earlier answer has allowed the step there.
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -81,12 +81,7 @@
   /// all tail latencies are far from their targets.
   bool IsCpuLimitSettled = false;
 
-  /// Number of the latest event after which a request for advice may name it
-  /// although an earlier one could not. Numbers rise over all endpoints.
-  uint64_t LatestGain = 0;
-  /// The incarnation on which tasks could start when that was last checked; 0:
-  /// none could.
-  int64_t UsableIncarnationMs = 0;
+  size_t Row = 0; ///< Index in `EndpointTable::rows`.
 
   /// Capacity that is not reserved.
   Resources freeCapacity() const;
@@ -98,6 +93,60 @@
 };
 
 /// All endpoints by id. An entry stays for as long as a task may run there.
-using EndpointTable = std::unordered_map<EndpointId, TrackedEndpoint>;
+class EndpointTable {
+  using Entries = std::unordered_map<EndpointId, TrackedEndpoint>;
+
+public:
+  /// What decides first whether an endpoint matters to a step. The rows are
+  /// next to each other in memory, so it is quick to look at all of them.
+  struct Row {
+    const EndpointId *Id = nullptr;
+    TrackedEndpoint *Endpoint = nullptr;
+    Resources Free; ///< Capacity that is not reserved.
+    /// Number of the latest event after which a request for advice may name the
+    /// endpoint although an earlier one could not.
+    uint64_t LatestGain = 0;
+    /// The incarnation on which tasks could start when that was last checked;
+    /// 0: none could.
+    int64_t UsableIncarnationMs = 0;
+  };
+
+  EndpointTable() = default;
+  // The rows point to the entries.
+  EndpointTable(const EndpointTable &) = delete;
+  EndpointTable &operator=(const EndpointTable &) = delete;
+
+  Entries::iterator begin() { return ById.begin(); }
+  Entries::iterator end() { return ById.end(); }
+  Entries::const_iterator begin() const { return ById.begin(); }
+  Entries::const_iterator end() const { return ById.end(); }
+  Entries::iterator find(const EndpointId &Id) { return ById.find(Id); }
+  Entries::const_iterator find(const EndpointId &Id) const {
+    return ById.find(Id);
+  }
+  /// Adds an entry if there is none.
+  TrackedEndpoint &operator[](const EndpointId &Id);
+  Entries::iterator erase(Entries::iterator Entry);
+
+  /// All endpoints, in any order.
+  std::vector<Row> &rows() { return Rows; }
+
+  /// To be called after each change of the capacity or of `Reserved`.
+  void updateRoom(const TrackedEndpoint &Endpoint) {
+    Rows[Endpoint.Row].Free = Endpoint.freeCapacity();
+  }
+  /// Records that \p Endpoint may have become a candidate for steps that found
+  /// none.
+  void noteGain(const TrackedEndpoint &Endpoint) {
+    Rows[Endpoint.Row].LatestGain = ++LatestGain;
+  }
+  /// Number of the latest gain of any endpoint; never 0.
+  uint64_t latestGain() const { return LatestGain; }
+
+private:
+  Entries ById;
+  std::vector<Row> Rows;
+  uint64_t LatestGain = 1;
+};
 
 } // namespace teaselwalk::cell
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "teaselwalk/cell/advice_dispatcher.hpp"
-#include "teaselwalk/cell/advice_plan.hpp"
+#include "teaselwalk/cell/advice_search.hpp"
 #include "teaselwalk/cell/configuration.hpp"
 #include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/endpoint_table.hpp"
@@ -109,18 +109,8 @@
     size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
   };
 
-  /// A search for endpoints that a request about a step may name.
-  struct AdviceSearch {
-    const JobProgress &Job;
-    const StepKey &Key;
-    const StepAdvice &Advice;
-    const StepSpec &Step;
-    const std::string &Service;
-    TimePoint Now;
-    bool HasRoom = false; ///< An endpoint had room for a task.
-    /// So had one with the label that the step requires.
-    bool HasLabelledRoom = false;
-  };
+  /// The rules for the tasks of one step.
+  class StepRules;
 
   /// A job and the version of its record that was written.
   using RecordVersion = std::pair<JobId, int64_t>;
@@ -315,23 +305,15 @@
   /// Chooses the endpoints that a request about \p Key names and claims room
   /// there. Returns none if the step needs no tickets any more.
   std::vector<EndpointId> claimCandidates(const StepKey &Key);
-  AdviceSearch adviceSearch(const JobProgress &Job, const StepKey &Key,
-                            const StepAdvice &Advice) const;
-  std::vector<AdviceCandidate> adviceCandidates(AdviceSearch &Search);
-  /// Nothing if a request may not name \p Endpoint.
-  std::optional<AdviceCandidate> candidateOn(TrackedEndpoint &Endpoint,
-                                             AdviceSearch &Search);
+  std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
+                                                const StepKey &Key,
+                                                StepAdvice &Advice);
   /// False if a search would find no endpoint, as far as is known.
   bool isSearchPromising(const JobProgress &Job, const StepKey &Key,
                          StepAdvice &Advice);
   /// True if no endpoint of \p Service had room for a task of \p Step, or for
   /// a smaller one, shortly before.
   bool hasNoRoom(const std::string &Service, const StepSpec &Step);
-  /// Records that \p Endpoint may have become a candidate for steps that found
-  /// none.
-  void noteGain(TrackedEndpoint &Endpoint) {
-    Endpoint.LatestGain = ++LatestGain;
-  }
   /// Records a gain on each endpoint on which tasks may start again.
   void noteUsableEndpoints();
   /// Drops the claims of \p Key.
@@ -398,7 +380,6 @@
   std::map<StepKey, StepAdvice> StepAdvices;
   std::unordered_map<std::string, std::vector<FullFleet>>
       NoRoomFor;                ///< By service.
-  uint64_t LatestGain = 1;      ///< Number of the latest gain.
   TimePoint UsableNotedAt;      ///< Time of the latest `noteUsableEndpoints`.
   TimePoint NextRepeatedSearch; ///< The latest `StepAdvice::SearchAgainAt`.
   LostEndpoints Lost;
--- a/src/teaselwalk/cell/advice_plan.cpp
+++ b/src/teaselwalk/cell/advice_plan.cpp
@@ -35,7 +35,7 @@
     if (!HasTicket && Named.size() == MaxCandidates)
       continue;
     if (!HasTicket)
-      Named.push_back(Next.Id);
+      Named.push_back(*Next.Id);
     double Chance = Next.IsAllowed ? 1 : Need.AllowedShare;
     Mean += Chance * Places;
     Variance += Chance * (1 - Chance) * Places * Places;
@@ -76,8 +76,8 @@
       [IsLong](const AdviceCandidate &A, const AdviceCandidate &B) {
         int64_t PlacesOfA = IsLong ? -A.Places : 0;
         int64_t PlacesOfB = IsLong ? -B.Places : 0;
-        return std::tie(B.IsAllowed, PlacesOfA, A.Score, A.Id) <
-               std::tie(A.IsAllowed, PlacesOfB, B.Score, B.Id);
+        return std::tie(B.IsAllowed, PlacesOfA, A.Score, *A.Id) <
+               std::tie(A.IsAllowed, PlacesOfB, B.Score, *B.Id);
       });
   Candidates.erase(Candidates.begin() + static_cast<std::ptrdiff_t>(Considered),
                    Candidates.end());
--- a/src/teaselwalk/cell/advice_plan_test.cpp
+++ b/src/teaselwalk/cell/advice_plan_test.cpp
@@ -2,9 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 namespace teaselwalk::cell::testing {
 namespace {
 
+/// The id with \p Text, which candidates refer to.
+const EndpointId *idOf(const std::string &Text) {
+  static std::set<EndpointId> Known;
+  return &*Known.emplace(Text).first;
+}
+
 AdviceNeed longRequest(int32_t Tasks, bool StartsTogether) {
   AdviceNeed Need;
   Need.Tasks = Tasks;
@@ -20,7 +29,7 @@
   std::vector<AdviceCandidate> Result;
   Result.reserve(static_cast<size_t>(Count));
   for (int I = 0; I < Count; ++I)
-    Result.push_back({EndpointId("u" + std::to_string(I)), Places,
+    Result.push_back({idOf("u" + std::to_string(I)), Places,
                       static_cast<double>(I), false, Duration(0)});
   return Result;
 }
@@ -46,7 +55,7 @@
 // with much room would do.
 TEST(AdvicePlanTest, LongRequestsPreferRoom) {
   std::vector<AdviceCandidate> Candidates = unknownEndpoints(150, 1);
-  Candidates.push_back({EndpointId("wide"), 9, 1000, false, Duration(0)});
+  Candidates.push_back({idOf("wide"), 9, 1000, false, Duration(0)});
   std::vector<EndpointId> Named = planAdvice(longRequest(9, false), Candidates);
   EXPECT_EQ(Named.front(), EndpointId("wide"));
   AdviceNeed Short = longRequest(9, false);
@@ -58,10 +67,10 @@
 // the answer is renewed, one that outlasts it is not.
 TEST(AdvicePlanTest, RenewsTicketsThatEndTooSoon) {
   std::vector<AdviceCandidate> Candidates = {
-      {EndpointId("fresh"), 2, 0, true, Duration(1200)},
-      {EndpointId("ending"), 2, 0, true, Duration(500)},
-      {EndpointId("ended"), 1, 0, true, Duration(0)},
-      {EndpointId("unknown"), 9, 0, false, Duration(0)},
+      {idOf("fresh"), 2, 0, true, Duration(1200)},
+      {idOf("ending"), 2, 0, true, Duration(500)},
+      {idOf("ended"), 1, 0, true, Duration(0)},
+      {idOf("unknown"), 9, 0, false, Duration(0)},
   };
   std::vector<EndpointId> Expected = {EndpointId("ending"),
                                       EndpointId("ended")};
--- a/src/teaselwalk/cell/endpoint_table.cpp
+++ b/src/teaselwalk/cell/endpoint_table.cpp
@@ -23,4 +23,22 @@
   return ClockMs == 0 ? 0 : ClockMs + (Now - ClockReadAt).count();
 }
 
+TrackedEndpoint &EndpointTable::operator[](const EndpointId &Id) {
+  auto [Found, IsNew] = ById.try_emplace(Id);
+  TrackedEndpoint &Endpoint = Found->second;
+  if (IsNew) {
+    Endpoint.Row = Rows.size();
+    Rows.push_back({&Found->first, &Endpoint, {}, 0, 0});
+  }
+  return Endpoint;
+}
+
+EndpointTable::Entries::iterator EndpointTable::erase(Entries::iterator Entry) {
+  size_t Row = Entry->second.Row;
+  Rows[Row] = Rows.back();
+  Rows[Row].Endpoint->Row = Row;
+  Rows.pop_back();
+  return ById.erase(Entry);
+}
+
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -1,6 +1,5 @@
 #include "owner_limits.hpp"
 
-#include "teaselwalk/cell/advice_plan.hpp"
 #include "teaselwalk/cell/owner.hpp"
 
 #include <algorithm>
@@ -31,14 +30,6 @@
 /// Endpoints after which the answers of a queue count half as much.
 constexpr double ShareWindow = 400;
 
-int64_t tasksThatFit(const Resources &Need, const Resources &Room) {
-  int64_t TaskCount = 64;
-  for (int64_t Resources::*Field : ResourceFields)
-    if (Need.*Field > 0)
-      TaskCount = std::min(TaskCount, Room.*Field / (Need.*Field));
-  return std::max<int64_t>(TaskCount, 0);
-}
-
 /// The room that the tasks of \p Need will probably use on each endpoint in
 /// \p Named.
 RoomClaims::Rows claimsOf(const AdviceNeed &Need, const StepSpec &Step,
@@ -48,12 +39,12 @@
   std::vector<std::pair<EndpointId, double>> Tasks;
   double Total = 0;
   for (const AdviceCandidate &Next : Candidates) {
-    if (IsNamed.count(Next.Id) == 0)
+    if (IsNamed.count(*Next.Id) == 0)
       continue;
     double Chance = Next.IsAllowed ? 1 : Need.AllowedShare;
     double Expected = Chance * static_cast<double>(
                                    std::min<int64_t>(Next.Places, Need.Tasks));
-    Tasks.emplace_back(Next.Id, Expected);
+    Tasks.emplace_back(*Next.Id, Expected);
     Total += Expected;
   }
   double Share = Total > Need.Tasks ? Need.Tasks / Total : 1;
@@ -74,95 +65,80 @@
   return policyOf(Job).NeedsAdvice ? &StepAdvices[Key] : nullptr;
 }
 
-Owner::AdviceSearch Owner::adviceSearch(const JobProgress &Job,
-                                        const StepKey &Key,
-                                        const StepAdvice &Advice) const {
-  return {Job,
-          Key,
-          Advice,
-          Job.Spec.Steps[static_cast<size_t>(Key.Step)],
-          policyOf(Job).Service,
-          Clock.now()};
-}
-
-std::vector<AdviceCandidate> Owner::adviceCandidates(AdviceSearch &Search) {
-  Log.count("advice_plans");
-  std::vector<AdviceCandidate> Result;
-  for (auto &[Id, Endpoint] : Table)
-    if (std::optional<AdviceCandidate> Next = candidateOn(Endpoint, Search))
-      Result.push_back(std::move(*Next));
-  if (!Search.HasRoom)
-    NoRoomFor[Search.Service].push_back({Search.Step.Need, "", Search.Now});
-  else if (!Search.HasLabelledRoom)
-    NoRoomFor[Search.Service].push_back(
-        {Search.Step.Need, Search.Step.RequiredLabel, Search.Now});
-  return Result;
-}
+class Owner::StepRules : public PlacementRules {
+public:
+  StepRules(const Owner &Parent, const JobProgress &Job, const StepKey &Key)
+      : Parent(Parent), Job(Job), Key(Key),
+        Step(Job.Spec.Steps[static_cast<size_t>(Key.Step)]),
+        Service(Parent.policyOf(Job).Service), Now(Parent.Clock.now()) {}
 
-std::optional<AdviceCandidate> Owner::candidateOn(TrackedEndpoint &Endpoint,
-                                                  AdviceSearch &Search) {
-  const StepSpec &Step = Search.Step;
-  TimePoint Now = Search.Now;
-  Resources Room = Endpoint.freeCapacity();
-  // Nothing is placed on an endpoint whose capacity has shrunk below what is
-  // reserved, also if the step does not need the resource.
-  if (hasNegative(Room) || tasksThatFit(Step.Need, Room) == 0)
-    return std::nullopt;
-  if (!mayStartOn(Endpoint, Search.Service, Now)) {
-    Endpoint.UsableIncarnationMs = 0;
-    return std::nullopt;
+  bool mayStartOn(const TrackedEndpoint &Endpoint) const override {
+    return Parent.mayStartOn(Endpoint, Service, Now);
   }
-  const EndpointId &Id = Endpoint.Info.Id;
-  Room -= Claims.claimed(Id);
-  int64_t Places = tasksThatFit(Step.Need, Room);
-  if (Places == 0)
-    return std::nullopt;
-  // A job may use room that is isolated for others, so that is no full fleet.
-  Search.HasRoom = true;
-  if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
-    return std::nullopt;
-  Search.HasLabelledRoom = true;
-  if (isIsolated(Endpoint, Search.Job.Spec.Id)) {
-    Endpoint.UsableIncarnationMs = 0;
-    return std::nullopt;
+  bool isIsolated(const TrackedEndpoint &Endpoint) const override {
+    return Parent.isIsolated(Endpoint, Job.Spec.Id);
   }
-  auto Known = Search.Advice.Endpoints.find(Id);
-  bool IsKnown = Known != Search.Advice.Endpoints.end() &&
-                 Known->second.IncarnationMs == Endpoint.IncarnationMs;
-  bool IsRefused = IsKnown && !Known->second.IsAllowed;
-  if (IsRefused)
-    return std::nullopt;
-  if (Step.Opportunistic) {
-    Room.MilliCpu -= Endpoint.OpportunisticCpu;
-    Places = tasksThatFit(Step.Need, Room);
+  int32_t countTasksOn(const TrackedEndpoint &Endpoint) const override {
+    return Parent.countTasksOn(Endpoint, Key);
   }
-  if (Step.MaxPerEndpoint > 0)
-    Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
-                                           countTasksOn(Endpoint, Search.Key));
-  if (Places <= 0)
-    return std::nullopt;
-  Duration TicketLeft =
-      IsKnown ? std::max(Duration(0), Known->second.ValidUntil - Now)
-              : Duration(0);
-  return AdviceCandidate{Id, Places, score(Endpoint, Step), IsKnown,
-                         TicketLeft};
+  double score(const TrackedEndpoint &Endpoint) const override {
+    return Parent.score(Endpoint, Step);
+  }
+
+private:
+  const Owner &Parent;
+  const JobProgress &Job;
+  const StepKey &Key;
+  const StepSpec &Step;
+  const std::string &Service;
+  const TimePoint Now;
+};
+
+std::vector<AdviceCandidate> Owner::adviceCandidates(const JobProgress &Job,
+                                                     const StepKey &Key,
+                                                     StepAdvice &Advice) {
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  TimePoint Now = Clock.now();
+  StepRules Rules(*this, Job, Key);
+  AdviceSearchResult Found =
+      AdviceSearch(Table, Claims, Step, Advice, Rules, Now).findAll();
+  Log.count("advice_plans");
+  Log.count("advice_endpoints_examined", Found.Examined);
+  if (!Found.HasLabelledRoom) {
+    std::string Label = Found.HasRoom ? Step.RequiredLabel : "";
+    NoRoomFor[policyOf(Job).Service].push_back(
+        {Step.Need, std::move(Label), Now});
+  }
+  Advice.SearchedUpTo = 0;
+  if (Found.Candidates.empty()) {
+    Advice.SearchedUpTo = Table.latestGain();
+    NextRepeatedSearch = std::max(Now + NoCandidatePause,
+                                  NextRepeatedSearch + RepeatedSearchSpacing);
+    Advice.SearchAgainAt = NextRepeatedSearch;
+  }
+  return std::move(Found.Candidates);
 }
 
 bool Owner::isSearchPromising(const JobProgress &Job, const StepKey &Key,
                               StepAdvice &Advice) {
-  AdviceSearch Search = adviceSearch(Job, Key, Advice);
-  if (hasNoRoom(Search.Service, Search.Step))
+  const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
+  TimePoint Now = Clock.now();
+  if (hasNoRoom(policyOf(Job).Service, Step))
     return false;
-  if (Advice.SearchedUpTo == 0 || Advice.SearchAgainAt <= Search.Now)
+  if (Advice.SearchedUpTo == 0 || Advice.SearchAgainAt <= Now)
     return true;
   noteUsableEndpoints();
-  if (Advice.SearchedUpTo < LatestGain)
-    for (auto &[Id, Endpoint] : Table)
-      if (Endpoint.LatestGain > Advice.SearchedUpTo &&
-          candidateOn(Endpoint, Search))
-        return true;
-  Advice.SearchedUpTo = LatestGain;
-  Advice.NotBefore = Search.Now + NoCandidatePause;
+  if (Advice.SearchedUpTo < Table.latestGain()) {
+    StepRules Rules(*this, Job, Key);
+    AdviceSearchResult Found;
+    bool IsFound = AdviceSearch(Table, Claims, Step, Advice, Rules, Now)
+                       .findsAfter(Advice.SearchedUpTo, Found);
+    Log.count("advice_endpoints_examined", Found.Examined);
+    if (IsFound)
+      return true;
+  }
+  Advice.SearchedUpTo = Table.latestGain();
+  Advice.NotBefore = Now + NoCandidatePause;
   return false;
 }
 
@@ -171,13 +147,14 @@
   if (Now - UsableNotedAt < UsableCheckInterval)
     return;
   UsableNotedAt = Now;
-  for (auto &[Id, Endpoint] : Table) {
+  for (EndpointTable::Row &Row : Table.rows()) {
+    const TrackedEndpoint &Endpoint = *Row.Endpoint;
     bool IsUsable = mayStartOn(Endpoint, Endpoint.Info.Service, Now) &&
                     !isIsolated(Endpoint, JobId());
     int64_t IncarnationMs = IsUsable ? Endpoint.IncarnationMs : 0;
-    if (IsUsable && IncarnationMs != Endpoint.UsableIncarnationMs)
-      noteGain(Endpoint);
-    Endpoint.UsableIncarnationMs = IncarnationMs;
+    if (IsUsable && IncarnationMs != Row.UsableIncarnationMs)
+      Table.noteGain(Endpoint);
+    Row.UsableIncarnationMs = IncarnationMs;
   }
 }
 
@@ -185,7 +162,7 @@
   for (const auto &[Id, Room] : Claims.remove(Key)) {
     auto Found = Table.find(Id);
     if (Found != Table.end())
-      noteGain(Found->second);
+      Table.noteGain(Found->second);
   }
 }
 
@@ -260,17 +237,10 @@
   StepAdvice &Advice = Found->second;
   if (Need.Tasks == 0 || !isSearchPromising(*Job, Key, Advice))
     return {};
-  AdviceSearch Search = adviceSearch(*Job, Key, Advice);
-  std::vector<AdviceCandidate> Candidates = adviceCandidates(Search);
-  Advice.SearchedUpTo = 0;
-  if (Candidates.empty()) {
-    Advice.SearchedUpTo = LatestGain;
-    NextRepeatedSearch = std::max(Search.Now + NoCandidatePause,
-                                  NextRepeatedSearch + RepeatedSearchSpacing);
-    Advice.SearchAgainAt = NextRepeatedSearch;
-  }
+  const StepSpec &Step = Job->Spec.Steps[static_cast<size_t>(Key.Step)];
+  std::vector<AdviceCandidate> Candidates = adviceCandidates(*Job, Key, Advice);
   std::vector<EndpointId> Named = planAdvice(Need, Candidates);
-  Claims.set(Key, claimsOf(Need, Search.Step, Candidates, Named));
+  Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
   return Named;
 }
 
--- a/src/teaselwalk/cell/owner_advice_load_test.cpp
+++ b/src/teaselwalk/cell/owner_advice_load_test.cpp
@@ -63,6 +63,9 @@
     return Total;
   }
 
+  /// How often the owner has examined an endpoint with room for a plan.
+  int64_t examined() { return ownerCount("advice_endpoints_examined"); }
+
   FakeWorld World;
 };
 
@@ -88,9 +91,11 @@
   submitJobs(1000);
   World.Clock.runFor(Duration(500));
   int64_t Before = plans();
+  int64_t ExaminedBefore = examined();
   World.Clock.runFor(Duration(2000));
   // One search for each scheduling pass of 15 ms at most.
   EXPECT_LE(plans() - Before, 2000 / 15);
+  EXPECT_EQ(examined(), ExaminedBefore);
   EXPECT_EQ(World.Cluster.Starts, 8);
 }
 
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -227,7 +227,8 @@
   bool IsNew = Endpoint.Info.Address.Port == 0;
   bool StartsToDrain = Info.Draining && !Endpoint.Info.Draining;
   Endpoint.Info = std::move(Info);
-  noteGain(Endpoint);
+  Table.updateRoom(Endpoint);
+  Table.noteGain(Endpoint);
   bool WasListed = std::exchange(Endpoint.IsListed, true);
   if (Endpoint.Token == 0)
     Endpoint.Token = HighestToken;
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -325,6 +325,7 @@
   if (!Endpoint.Tasks.insert(Key).second)
     return;
   Endpoint.Reserved += reservedResources(Step);
+  Table.updateRoom(Endpoint);
   TeamUsage[Job.Spec.Team] += Step.Need;
   Endpoint.ServingTasks += Step.TailTarget.count() > 0 ? 1 : 0;
   Endpoint.OpportunisticTasks += Step.Opportunistic ? 1 : 0;
@@ -339,8 +340,9 @@
     return;
   const StepSpec &Step = Job.stepOf(Key);
   TrackedEndpoint &Endpoint = Found->second;
-  noteGain(Endpoint);
   Endpoint.Reserved -= reservedResources(Step);
+  Table.updateRoom(Endpoint);
+  Table.noteGain(Endpoint);
   TeamUsage[Job.Spec.Team] -= Step.Need;
   Endpoint.ServingTasks -= Step.TailTarget.count() > 0 ? 1 : 0;
   Endpoint.OpportunisticTasks -= Step.Opportunistic ? 1 : 0;
