--- a/src/teaselwalk/cell/advice_search_test.cpp
+++ b/src/teaselwalk/cell/advice_search_test.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int TableCount = 400;
+constexpr int64_t Processor = 1000;
+constexpr int64_t MemoryUnit = 500;
 const TimePoint Now = timeAt(100000);
 
 /// Rules that depend on the endpoint only.
@@ -47,7 +49,8 @@
     RoomClaims::Rows Rows;
     for (const auto &[Id, Endpoint] : Table)
       if (choose(0, 3) == 0)
-        Rows.emplace_back(Id, Resources{choose(0, 3) * 1000, 100, 0, 0, 0});
+        Rows.emplace_back(Id,
+                          Resources{choose(0, 3) * Processor, 100, 0, 0, 0});
     Claims.set({JobId("other"), 0, 0}, Rows);
   }
 
@@ -66,8 +69,8 @@
   }
 
   void chooseStep() {
-    Step.Need = {choose(1, 4) * 1000, choose(0, 2) * 500, choose(0, 3) / 3, 0,
-                 0};
+    Step.Need = {choose(1, 4) * Processor, choose(0, 2) * MemoryUnit,
+                 choose(0, 3) / 3, 0, 0};
     Step.Opportunistic = choose(0, 5) == 0;
     Step.MaxPerEndpoint = choose(0, 2);
     if (choose(0, 3) == 0)
@@ -86,10 +89,10 @@
     Endpoint.Info.Labels = {choose(0, 1) == 0 ? "fast" : "slow"};
     Endpoint.IncarnationMs = choose(1, 2);
     // At times more than the capacity, which may shrink.
-    Endpoint.Reserved = {choose(0, 9) * 1000, choose(0, 9) * 500, choose(0, 2),
-                         0, 0};
+    Endpoint.Reserved = {choose(0, 9) * Processor, choose(0, 9) * MemoryUnit,
+                         choose(0, 2), 0, 0};
     Endpoint.ServingTasks = choose(0, 2);
-    Endpoint.OpportunisticCpu = choose(0, 2) * 1000;
+    Endpoint.OpportunisticCpu = choose(0, 2) * Processor;
     Table.updateRoom(Endpoint);
     if (choose(0, 4) == 0)
       Rules.Closed.insert(Id);
@@ -108,7 +111,7 @@
       Table.erase(Found);
       return;
     }
-    Found->second.Reserved.MilliCpu = choose(0, 8) * 1000;
+    Found->second.Reserved.MilliCpu = choose(0, 8) * Processor;
     Table.updateRoom(Found->second);
   }
 
--- a/src/teaselwalk/cell/owner_advice_load_test.cpp
+++ b/src/teaselwalk/cell/owner_advice_load_test.cpp
@@ -9,7 +9,8 @@
 constexpr Duration SettleTime{1500};
 constexpr int JobCount = 300;
 /// Room for the tasks of all jobs.
-constexpr Resources LargeCapacity{JobCount * 1000, JobCount * 1000, 0, 0, 0};
+constexpr int64_t LargeRoom = int64_t{1000} * JobCount;
+constexpr Resources LargeCapacity{LargeRoom, LargeRoom, 0, 0, 0};
 /// Processes through which all jobs can ask within a short time.
 constexpr int ManyRoutes = 20;
 /// Longest time until the service has answered all jobs.
@@ -160,7 +161,7 @@
   World.addEndpoints(1, LargeCapacity);
   begin(8, ManyRoutes);
   World.Cluster.DefaultWork.Length = Duration(60000);
-  JobSpec Long = World.job(JobCount + 1, {World.step(1, JobCount * 1000)});
+  JobSpec Long = World.job(JobCount + 1, {World.step(1, LargeRoom)});
   World.Cluster.Work[{Long.Id, 0, 0, 0}].Length = AnswerTime + Duration(1000);
   World.send(0, CallerAction::Submit, Long);
   World.Clock.runFor(Duration(500));
