cell: an ended job is removed only when no endpoint holds room for it

The record of a cancelled job still names the endpoints of its runs. A new owner reserves room there until they answer; if the job's retention was over by then, the owner removed it in its first 250 ms, and the endpoint's first answer ended the process (null pointer). The next owner did the same.

Change: a job counts the room that is reserved for its tasks and is kept until there is none.

Test OwnerRetentionTest.AJobThatMayStillRunIsKept ended the test program before (no job is found for a task of the endpoint) and passes now.

--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -83,6 +83,7 @@
   int64_t SeparateVersion = 0;
   TimePoint AcceptedAt;
   TimePoint Objective; ///< Latest completion that is on time.
+  int32_t ReservedTasks = 0; ///< Tasks that hold room on an endpoint.
   /// The starts of isolated tasks will be tried again.
   bool IsStartPostponed = false;
   /// Submitted beyond the rate that its team is entitled to.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -287,9 +287,9 @@
                        const StepKey &Key) const;
   /// Reserves the resources of a task on an endpoint; `freeResources` frees
   /// them.
-  void reserveResources(TrackedEndpoint &Endpoint, const JobProgress &Job,
+  void reserveResources(TrackedEndpoint &Endpoint, JobProgress &Job,
                         const TaskKey &Key);
-  void freeResources(const JobProgress &Job, const TaskKey &Key,
+  void freeResources(JobProgress &Job, const TaskKey &Key,
                      const EndpointId &AssignedTo);
 
   // owner_gangs.cpp
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -276,7 +276,8 @@
   while (It != ToRemove.end() && It->first <= Limit && HasRoom()) {
     const JobId &Id = It->second;
     const JobProgress *Job = jobOf(Id);
-    if (Job != nullptr && (Job->StoredVersion < Job->Version || IsPut(Id))) {
+    if (Job != nullptr && (Job->StoredVersion < Job->Version ||
+                           Job->ReservedTasks > 0 || IsPut(Id))) {
       ++It;
       continue;
     }
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -319,11 +319,12 @@
   return true;
 }
 
-void Owner::reserveResources(TrackedEndpoint &Endpoint, const JobProgress &Job,
+void Owner::reserveResources(TrackedEndpoint &Endpoint, JobProgress &Job,
                              const TaskKey &Key) {
   const StepSpec &Step = Job.stepOf(Key);
   if (!Endpoint.Tasks.insert(Key).second)
     return;
+  ++Job.ReservedTasks;
   Endpoint.Reserved += reservedResources(Step);
   Table.updateRoom(Endpoint);
   TeamUsage[Job.Spec.Team] += Step.Need;
@@ -332,7 +333,7 @@
   Endpoint.OpportunisticCpu += Step.Opportunistic ? Step.Need.MilliCpu : 0;
 }
 
-void Owner::freeResources(const JobProgress &Job, const TaskKey &Key,
+void Owner::freeResources(JobProgress &Job, const TaskKey &Key,
                           const EndpointId &AssignedTo) {
   OpenStarts.erase(Key);
   auto Found = Table.find(AssignedTo);
@@ -340,6 +341,7 @@
     return;
   const StepSpec &Step = Job.stepOf(Key);
   TrackedEndpoint &Endpoint = Found->second;
+  --Job.ReservedTasks;
   Endpoint.Reserved -= reservedResources(Step);
   Table.updateRoom(Endpoint);
   Table.noteGain(Endpoint);
--- a/src/teaselwalk/cell/owner_retention_test.cpp
+++ b/src/teaselwalk/cell/owner_retention_test.cpp
@@ -93,5 +93,29 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against a crash of the owner: the record of a cancelled job still
+// names an endpoint when a later owner removes the job before that endpoint has
+// answered.
+TEST(OwnerRetentionTest, AJobThatMayStillRunIsKept) {
+  FakeWorld World;
+  World.StatusKept = StatusKept;
+  World.Cluster.DefaultWork.Length = Duration(60000);
+  World.addEndpoints(2);
+  World.addProcesses(1);
+  World.Clock.runFor(SettleTime);
+  JobSpec Job = World.job(1, {FakeWorld::step(2)});
+  World.send(0, CallerAction::Submit, Job);
+  World.Clock.runFor(Duration(500));
+  ASSERT_EQ(World.Cluster.Starts, 2);
+  World.send(0, CallerAction::Cancel, Job);
+  World.Clock.runFor(Duration(1000));
+  World.kill(0);
+  World.Clock.runFor(StatusKept + ClockJumpMargin + Duration(1000));
+  World.restart(0);
+  World.Clock.runFor(Duration(20000));
+  EXPECT_EQ(World.Store.list(IntakePrefix).Items.size(), 0U);
+  EXPECT_EQ(World.violations(), "");
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
