cell: random tests with changing capacities, deadly gangs and services

The random fault tests had no capacities that change, no deadly member of a gang and no deadly service. The model of the endpoints now ends the other members of a gang that has lost one (broken) and members that wait in vain (alone), and counts a room that has shrunk 2.5 s later (the shortest time out of touch and a beat) while the processes are in touch; what is being stopped counts until it has ended.

The injected faults have moved to testing/random_faults.hpp, the records of the model to testing/fake_machine.hpp.

--- a/src/teaselwalk/cell/random_faults_test.cpp
+++ b/src/teaselwalk/cell/random_faults_test.cpp
@@ -1,4 +1,4 @@
-#include "testing/fake_world.hpp"
+#include "testing/random_faults.hpp"
 
 #include <gtest/gtest.h>
 
@@ -15,7 +15,8 @@
 class RandomScenario {
 public:
   RandomScenario(uint32_t Seed, uint32_t FaultKinds, bool HasDeadlyTasks)
-      : Random(Seed), FaultKinds(FaultKinds), HasDeadlyTasks(HasDeadlyTasks) {}
+      : Random(Seed), Faults(World, Random, FaultKinds), FaultKinds(FaultKinds),
+        HasDeadlyTasks(HasDeadlyTasks) {}
 
   void run() {
     if (std::getenv("FUZZ_TRACE") != nullptr)
@@ -30,10 +31,10 @@
       if (randomBelow(2) == 0)
         submit();
       if (randomBelow(3) == 0)
-        injectFault();
+        Faults.inject();
       World.Clock.runFor(Duration(100 + randomBelow(400)));
     }
-    repairFaults();
+    Faults.repair();
     World.Clock.runFor(Duration(60000));
   }
 
@@ -69,17 +70,7 @@
   /// A task that has crashed three endpoints may be started twice more.
   static constexpr int MaxStartsOfDeadlyTasks = 5;
 
-  uint32_t randomBelow(uint32_t Count) {
-    return std::uniform_int_distribution<uint32_t>(0, Count - 1)(Random);
-  }
-
-  size_t liveProcess() {
-    for (;;) {
-      size_t Index = randomBelow(static_cast<uint32_t>(World.Processes.size()));
-      if (World.Processes[Index])
-        return Index;
-    }
-  }
+  uint32_t randomBelow(uint32_t Count) { return Faults.randomBelow(Count); }
 
   void submit() {
     std::vector<StepSpec> Steps{FakeWorld::step(
@@ -107,7 +98,7 @@
       World.Cluster.Work[{Job.Id, 0, 0, Index}].CrashesEndpoint = true;
       Deadly.insert(Job.Id);
     }
-    auto Answers = World.send(liveProcess(), CallerAction::Submit, Job);
+    auto Answers = World.send(Faults.liveProcess(), CallerAction::Submit, Job);
     World.Clock.runFor(Duration(2500));
     if (Answers->empty())
       return;
@@ -117,145 +108,12 @@
     if (Kind == RequestOutcome::Refused)
       Refused.push_back(Job.Id);
     if (Kind == RequestOutcome::Done && randomBelow(10) == 0)
-      World.send(liveProcess(), CallerAction::Cancel, Job);
-  }
-
-  EndpointId someEndpoint() {
-    auto It = World.Cluster.Machines.begin();
-    std::advance(
-        It, randomBelow(static_cast<uint32_t>(World.Cluster.Machines.size())));
-    return It->first;
-  }
-
-  void injectFault() {
-    size_t Index = randomBelow(4) == 0 ? liveProcess() : World.ownerIndex();
-    if (Index >= World.Processes.size())
-      Index = liveProcess();
-    FakeProcess &Process = *World.Processes[Index];
-    uint32_t Kind = randomBelow(FaultKinds);
-    if (World.Cluster.Trace)
-      World.Cluster.Trace(
-          std::to_string(World.Clock.now().time_since_epoch().count()) +
-          " fault " + std::to_string(Kind) + " on process " +
-          std::to_string(Index) + ", owner " +
-          std::to_string(World.ownerIndex()));
-    switch (Kind) {
-    case 0:
-      World.kill(Index);
-      World.Clock.runFor(Duration(randomBelow(3000)));
-      World.restart(Index);
-      break;
-    case 1:
-      Process.Clock.pause();
-      World.Clock.runFor(Duration(500 + randomBelow(5000)));
-      Process.Clock.resume();
-      break;
-    case 2:
-      Process.Store.IsSilent = true;
-      World.Clock.runFor(Duration(500 + randomBelow(6000)));
-      Process.Store.IsSilent = false;
-      break;
-    case 3:
-      Process.Store.IsRefusing = true;
-      World.Clock.runFor(Duration(500 + randomBelow(6000)));
-      Process.Store.IsRefusing = false;
-      break;
-    case 4:
-      Process.Store.LoseAnswers = static_cast<int>(1 + randomBelow(4));
-      break;
-    case 5:
-      Process.Store.DelayWrites = static_cast<int>(1 + randomBelow(4));
-      Process.Store.WriteDelay = Duration(1000 + randomBelow(5000));
-      break;
-    case 6:
-      Process.Endpoints.LoseStarts = static_cast<int>(1 + randomBelow(6));
-      break;
-    case 7:
-      Process.Endpoints.DelayStarts = static_cast<int>(1 + randomBelow(6));
-      Process.Endpoints.StartDelay = Duration(2000 + randomBelow(10000));
-      break;
-    case 8: {
-      EndpointId Id = someEndpoint();
-      World.Cluster.crash(Id);
-      World.unlistEndpoint(Id);
-      // A restart takes longer than the owner's pause between two renewals
-      // (docs/design.md, section 8): 73 ms let seed 20261580 fail.
-      World.Clock.runFor(Duration(300 + randomBelow(4000)));
-      World.Cluster.restart(Id);
-      World.listEndpoint(Id);
-      break;
-    }
-    case 9: {
-      EndpointId Id = someEndpoint();
-      World.Cluster.Machines[Id].IsPartitioned = true;
-      World.Clock.runFor(Duration(randomBelow(9000)));
-      World.Cluster.Machines[Id].IsPartitioned = false;
-      break;
-    }
-    case 10:
-      World.Store.dropHistory();
-      break;
-    case 11:
-      Process.Endpoints.IsPartitioned = true;
-      World.Clock.runFor(Duration(randomBelow(4000)));
-      Process.Endpoints.IsPartitioned = false;
-      break;
-    case 13:
-      Process.Peers.IsPartitioned = true;
-      World.Clock.runFor(Duration(500 + randomBelow(6000)));
-      Process.Peers.IsPartitioned = false;
-      break;
-    case 14: {
-      EndpointId Id = someEndpoint();
-      for (auto &Other : World.Processes)
-        Other->Endpoints.LoseRenewalAnswersOf.insert(Id);
-      World.Clock.runFor(Duration(500 + randomBelow(7000)));
-      for (auto &Other : World.Processes)
-        Other->Endpoints.LoseRenewalAnswersOf.clear();
-      break;
-    }
-    case 15:
-      for (auto &Other : World.Processes)
-        Other->Store.Latency = Duration(120);
-      World.Clock.runFor(Duration(500 + randomBelow(5000)));
-      for (auto &Other : World.Processes)
-        Other->Store.Latency = Duration(2);
-      break;
-    case 16:
-      // The network of a data centre is cut off: the process reaches the
-      // endpoints but neither the store nor other processes.
-      Process.Peers.IsPartitioned = true;
-      Process.Store.IsSilent = true;
-      World.Clock.runFor(Duration(500 + randomBelow(6000)));
-      Process.Peers.IsPartitioned = false;
-      Process.Store.IsSilent = false;
-      break;
-    case 17:
-      Process.Store.LosesWatchEvents = true;
-      World.Clock.runFor(Duration(500 + randomBelow(4000)));
-      Process.Store.LosesWatchEvents = false;
-      break;
-    default:
-      for (auto &Other : World.Processes)
-        Other->Store.IsSilent = true;
-      World.Clock.runFor(Duration(randomBelow(6000)));
-      for (auto &Other : World.Processes)
-        Other->Store.IsSilent = false;
-      break;
-    }
-  }
-
-  void repairFaults() {
-    for (auto &Process : World.Processes) {
-      Process->Store.LoseAnswers = 0;
-      Process->Store.DelayWrites = 0;
-      Process->Endpoints.LoseStarts = 0;
-      Process->Endpoints.DelayStarts = 0;
-    }
+      World.send(Faults.liveProcess(), CallerAction::Cancel, Job);
   }
 
   FakeWorld World;
   std::mt19937 Random;
+  RandomFaults Faults;
   const uint32_t FaultKinds;
   const bool HasDeadlyTasks;
   std::set<JobId> Deadly; ///< Jobs with a task that crashes its endpoints.
@@ -264,11 +122,6 @@
   int Number = 0;
 };
 
-/// Number of kinds of faults that `injectFault` chooses from: those of one
-/// process, one endpoint or the store, and all of them.
-constexpr uint32_t SingleFaultKinds = 13;
-constexpr uint32_t AllFaultKinds = 18;
-
 /// First seed and numbers of scenarios in CI. `FUZZ_SEED` and `FUZZ_CASES`
 /// override them.
 constexpr uint32_t FirstSeed = 20261204;
--- a/src/teaselwalk/cell/testing/fake_cluster.hpp
+++ b/src/teaselwalk/cell/testing/fake_cluster.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fake_clock.hpp"
+#include "fake_machine.hpp"
 
 #include "teaselwalk/cell/ports.hpp"
 
@@ -12,14 +13,6 @@
 
 namespace teaselwalk::cell::testing {
 
-/// What a task does when it runs.
-struct FakeWork {
-  Duration Length{1000};
-  int FailFirst = 0;             ///< Number of runs that fail at their end.
-  bool RunsUntilStopped = false; ///< Runs until it is stopped.
-  bool CrashesEndpoint = false;  ///< Its start crashes the endpoint.
-};
-
 /// Model of all endpoints that follows their protocol. It also checks the
 /// scheduler's invariants that are visible to endpoints: capacities are kept,
 /// no task runs twice at the same time or after an acknowledged end, and steps
@@ -28,38 +21,8 @@
 public:
   explicit FakeCluster(FakeClock &Clock) : Clock(Clock) {}
 
-  struct Run {
-    int64_t Attempt = 0;
-    std::string Checkpoint;
-    uint64_t Serial = 0;
-    /// The start was sent to an earlier incarnation of the endpoint and arrived
-    /// before the owner could raise the fencing token of the new one. No owner
-    /// can prevent such a run, so it violates no invariant.
-    bool IsUnfenced = false;
-    int64_t LoadMetric = 0;
-    int32_t CpuLimitPercent = 100;
-    TimePoint StartedAt;
-  };
-
-  struct Machine {
-    EndpointInfo Info;
-    bool IsUp = true;
-    bool IsPartitioned = false; ///< It runs on, but no message arrives.
-    TimePoint StartedAt;
-    int64_t IncarnationMs = 0;
-    int64_t FencingToken = 0;
-    int64_t NextEnd = 1;
-    /// Ended runs up to this number were listed before the lease expired. The
-    /// checks ignore an acknowledgement of these.
-    int64_t ExpiredUpTo = 0;
-    int64_t LeaseUntilMs = 0;
-    std::map<TaskKey, Run> Running;
-    /// Highest attempt of each task that was stopped or has ended.
-    std::map<TaskKey, int64_t> HighestEnded;
-    std::vector<EndedRun> Ends;
-    bool FailsAll = false; ///< Its runs all fail at their end.
-    bool IsStuck = false;  ///< Its runs make no progress and do not end.
-  };
+  using Run = FakeRun;
+  using Machine = FakeMachine;
 
   std::map<EndpointId, Machine> Machines;
   std::map<JobId, JobSpec> Jobs;
@@ -74,6 +37,13 @@
   std::function<bool(const StartRequest &, const EndpointId &)> AcceptsTicket;
   /// Called when a task has crashed its endpoint.
   std::function<void(const EndpointId &)> OnCrash;
+  /// Called when a task that crashes its endpoint has been started.
+  std::function<void()> OnDeadlyStart;
+  /// The members of a gang work from when all are present, and end together.
+  bool GangsEndTogether = false;
+  /// A process was cut off from something until shortly before this time.
+  /// Until then former capacities count, however long ago they have shrunk.
+  TimePoint InTouchFrom;
   int Starts = 0;
   std::map<TaskKey, int> StartsOf;
 
@@ -84,18 +54,31 @@
   void crash(const EndpointId &Id) {
     Machine &M = Machines[Id];
     M.IsUp = false;
-    M.Running.clear();
+    std::map<TaskKey, Run> Lost;
+    Lost.swap(M.Running);
+    for (const auto &[Key, Value] : Lost) {
+      trace("crash", M, Key, Value.Attempt);
+      breakGang(Key, Value.Attempt);
+    }
   }
   void restart(const EndpointId &Id) {
     Machine &M = Machines[Id];
     EndpointInfo Info = M.Info;
+    auto FormerCapacities = std::move(M.FormerCapacities);
     M = Machine();
     M.Info = Info;
+    M.FormerCapacities = std::move(FormerCapacities);
     M.StartedAt = Clock.now();
     M.IncarnationMs = Clock.wallMillis();
     M.Info.IncarnationMs = M.IncarnationMs;
   }
 
+  void setCapacity(const EndpointId &Id, const Resources &Capacity) {
+    Machine &M = Machines[Id];
+    M.FormerCapacities.emplace_back(Clock.now(), M.Info.Capacity);
+    M.Info.Capacity = Capacity;
+  }
+
   EndpointResult start(Machine &M, const StartRequest &Request,
                        bool IsFormerIncarnation = false) {
     bool IsUnfenced = IsFormerIncarnation && clockOf(M) < TimeToFence.count();
@@ -172,6 +155,13 @@
 
   /// From the start of a task that crashes its endpoint to the crash.
   static constexpr Duration CrashDelay{3};
+  /// A capacity that has shrunk counts after this time: the shortest time until
+  /// a process is out of touch, and a beat of the endpoint.
+  static constexpr Duration ShrunkRoomCountsAfter{2500};
+  /// How long a member of a gang waits for the others.
+  static constexpr Duration GangTimeout{5000};
+  /// From the end of a member of a gang to that of the others.
+  static constexpr Duration GangEndDelay{20};
   /// The owner notices a restart by a failed renewal, after 2 s at most.
   static constexpr Duration TimeToFence{3000};
 
@@ -217,7 +207,10 @@
     Resources Used = Step.Need;
     for (const auto &[Key, Value] : M.Running)
       Used += stepOf(Key).Need;
-    if (!fits(Used, M.Info.Capacity))
+    bool IsInTouch = Clock.now() >= InTouchFrom;
+    TimePoint ShrunkSince =
+        IsInTouch ? Clock.now() - ShrunkRoomCountsAfter : TimePoint();
+    if (!fits(Used, M.roomSince(ShrunkSince)))
       violate("capacity exceeded by", Request.Task);
     for (auto &[Id, Other] : Machines) {
       expire(Other);
@@ -242,9 +235,15 @@
     M.Running[Request.Task] = Value;
     auto Found = Work.find(Request.Task);
     const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
-    if (Plan.CrashesEndpoint)
+    if (Plan.CrashesEndpoint) {
+      if (OnDeadlyStart)
+        OnDeadlyStart();
       return crashLater(M.Info.Id);
-    if (Plan.RunsUntilStopped || M.IsStuck)
+    }
+    if (GangsEndTogether && Step.Gang)
+      joinGang(Request.Task, Request.Attempt, Plan.Length);
+    bool EndsWithGang = GangsEndTogether && Step.Gang;
+    if (Plan.RunsUntilStopped || M.IsStuck || EndsWithGang)
       return;
     bool Fails = M.FailsAll || StartsOf[Request.Task] <= Plan.FailFirst;
     Clock.after(Plan.Length, [this, Id = M.Info.Id, Task = Request.Task,
@@ -273,6 +272,52 @@
     finish(M, Task, How);
   }
 
+  /// Calls \p Body with the endpoint and task of each run of an attempt of a
+  /// gang.
+  template <typename Call>
+  void forGang(const TaskKey &Member, int64_t Attempt, Call Body) {
+    for (auto &[Id, M] : Machines) {
+      expire(M);
+      std::map<TaskKey, Run> Before = M.Running;
+      for (const auto &[Key, Value] : Before)
+        if (Key.Job == Member.Job && Key.Occurrence == Member.Occurrence &&
+            Key.Step == Member.Step && Value.Attempt == Attempt)
+          Body(M, Key);
+    }
+  }
+
+  int32_t countGang(const TaskKey &Member, int64_t Attempt) {
+    int32_t Count = 0;
+    forGang(Member, Attempt, [&](Machine &, const TaskKey &) { ++Count; });
+    return Count;
+  }
+
+  void joinGang(const TaskKey &Member, int64_t Attempt, Duration Length) {
+    int32_t Size = stepOf(Member).Tasks;
+    bool IsComplete = countGang(Member, Attempt) == Size;
+    auto How = IsComplete ? RunOutcome::Done : RunOutcome::GangTimedOut;
+    Clock.after(IsComplete ? Length : GangTimeout, [=] {
+      // The gang has lost a member, or has become complete since.
+      if ((countGang(Member, Attempt) == Size) != IsComplete)
+        return;
+      forGang(Member, Attempt, [&](Machine &M, const TaskKey &Key) {
+        if (IsComplete || Key == Member)
+          finish(M, Key, How);
+      });
+    });
+  }
+
+  /// Ends the other members of a gang that has lost one.
+  void breakGang(const TaskKey &Member, int64_t Attempt) {
+    if (!GangsEndTogether || !stepOf(Member).Gang)
+      return;
+    Clock.after(GangEndDelay, [=] {
+      forGang(Member, Attempt, [&](Machine &M, const TaskKey &Key) {
+        finish(M, Key, RunOutcome::GangBroken);
+      });
+    });
+  }
+
   void finish(Machine &M, const TaskKey &Task, RunOutcome How) {
     auto Found = M.Running.find(Task);
     int64_t Attempt = Found->second.Attempt;
@@ -282,7 +327,7 @@
         {M.NextEnd++, Task, Attempt, How, Found->second.Checkpoint});
     M.Running.erase(Found);
     if (How != RunOutcome::Done)
-      return;
+      return breakGang(Task, Attempt);
     DoneTasks.insert(Task);
     DoneEnds[Task].push_back({M.Info.Id, M.IncarnationMs, M.NextEnd - 1});
   }
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -93,15 +93,26 @@
       Info.Service = "pool";
       Info.Capacity = Capacity;
       Info.Labels = {"a", "r" + std::to_string(I / 4)};
-      FakeCluster::Machine &M = Cluster.Machines[Info.Id];
-      M.Info = Info;
-      M.StartedAt = Clock.now();
-      M.IncarnationMs = Clock.wallMillis();
-      M.Info.IncarnationMs = M.IncarnationMs;
-      listEndpoint(Info.Id);
+      addEndpoint(Info);
     }
   }
 
+  void addEndpoint(const EndpointInfo &Info) {
+    FakeCluster::Machine &M = Cluster.Machines[Info.Id];
+    M.Info = Info;
+    M.StartedAt = Clock.now();
+    M.IncarnationMs = Clock.wallMillis();
+    M.Info.IncarnationMs = M.IncarnationMs;
+    listEndpoint(Info.Id);
+  }
+
+  /// Puts an endpoint with another id in the place of a crashed one.
+  void replaceEndpoint(const EndpointId &Id) {
+    EndpointInfo Info = Cluster.Machines[Id].Info;
+    Info.Id = EndpointId("e" + std::to_string(Cluster.Machines.size()));
+    addEndpoint(Info);
+  }
+
   /// Makes the tasks of all queues need tickets of the advisory service.
   void requireAdvice() {
     for (Queue &Each : Config.Queues) {
@@ -243,10 +254,10 @@
 
   JobSpec Submitted;
 
-private:
   /// The entry of an endpoint that reports nothing is removed after this time.
   static constexpr Duration EntryLifetime{1500};
 
+private:
   int Restarts = 0;
   /// Killed processes, kept because messages in flight refer to them.
   std::vector<std::unique_ptr<FakeProcess>> Dead;
