cell: an answer that is handled late does not date a crash wrongly

Seen in a test with a queue of 0.7 s at the owner: a task that crashes its endpoint was started 29 times in 80 s (5 are allowed), and a job that was started after such a crash was given up in its place.

Cause: the time of the last sign of life was that at which an answer was handled. The answer to the start of the deadly task moved it behind the crash, so the task was not suspected, but a start sent after the crash was.

Change: a sign of life counts from when the call was sent, or later by the endpoint's clock, which runs at most slow. One that is older than a failure does not remove the failure, and a start answered by a clock that has gone back (of another incarnation) is no sign of life.

Tests, before on the unchanged code: owner_crash_times_test.cpp:39: (World.Cluster.StartsOf[Key]) <= (5), actual: 29 vs 5 OwnerCrashTimesTest.KeepsJobsThatWereStartedAfterTheCrash: state Failed, not Completed Now both pass.

--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -36,7 +36,11 @@
   TimePoint ClockReadAt;
 
   TimePoint LastAnswerAt; ///< When a renewal was last answered.
-  TimePoint LastAliveAt;  ///< The same for renewals and start requests.
+  /// The latest time at which it is known to have been alive, by its answers to
+  /// renewals and start requests.
+  TimePoint LastAliveAt;
+  /// The clock of its incarnation has started at this time or later.
+  TimePoint ClockOrigin;
   /// The first call that failed since then; the default value: none.
   TimePoint FirstFailureAt;
   TimePoint LastStartAt; ///< When the latest start request was sent.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -199,7 +199,7 @@
   void sendStart(JobProgress &Job, const TaskKey &Key, TaskProgress &Task);
   void onStartAnswer(const TaskKey &Key, int64_t Attempt,
                      const EndpointId &AssignedTo, int64_t Token,
-                     const EndpointResult &Result);
+                     TimePoint Sent, const EndpointResult &Result);
   /// True if no task may be placed until an open start is answered.
   bool isStartLimitReached();
   size_t countOverdueStarts() const;
@@ -221,7 +221,9 @@
   void suspendEndpoint(TrackedEndpoint &Endpoint, Duration First);
 
   // owner_crashes.cpp
-  void noteAlive(TrackedEndpoint &Endpoint);
+  /// The endpoint has answered a call that was sent at \p Sent. \p ClockMs: its
+  /// clock then; 0: unknown.
+  void noteAlive(TrackedEndpoint &Endpoint, TimePoint Sent, int64_t ClockMs);
   void noteFailure(TrackedEndpoint &Endpoint);
   CrashTime crashTimeOf(const TrackedEndpoint &Endpoint) const;
   /// Runs on an endpoint of which \p NowMs is the present incarnation; 0: it
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -15,9 +15,19 @@
 
 } // namespace
 
-void Owner::noteAlive(TrackedEndpoint &Endpoint) {
-  Endpoint.LastAliveAt = Clock.now();
-  Endpoint.FirstFailureAt = TimePoint();
+void Owner::noteAlive(TrackedEndpoint &Endpoint, TimePoint Sent,
+                      int64_t ClockMs) {
+  // The answer may have waited in the queue, so it shows that the endpoint was
+  // alive when it read its clock, not that it still is.
+  TimePoint AliveAt = Sent;
+  if (ClockMs > 0) {
+    Endpoint.ClockOrigin =
+        std::max(Endpoint.ClockOrigin, Sent - Duration(ClockMs));
+    AliveAt = std::min(Clock.now(), Endpoint.ClockOrigin + Duration(ClockMs));
+  }
+  Endpoint.LastAliveAt = std::max(Endpoint.LastAliveAt, AliveAt);
+  if (AliveAt > Endpoint.FirstFailureAt)
+    Endpoint.FirstFailureAt = TimePoint();
 }
 
 void Owner::noteFailure(TrackedEndpoint &Endpoint) {
@@ -69,6 +79,7 @@
 void Owner::countCrash(TrackedEndpoint &Endpoint, int64_t NowMs) {
   std::vector<RunAtCrash> Runs = runsAtCrash(Endpoint, NowMs);
   Endpoint.ReleasedRuns.clear();
+  Endpoint.ClockOrigin = TimePoint();
   if (Runs.empty())
     return;
   CrashTime Crash = crashTimeOf(Endpoint);
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -106,7 +106,7 @@
   if (Number > Endpoint.LatestAnsweredRenewal) {
     Endpoint.LatestAnsweredRenewal = Number;
     bool IsSameIncarnation = updateIncarnation(Endpoint, Result);
-    noteAlive(Endpoint);
+    noteAlive(Endpoint, Sent, Result.ClockMs);
     Endpoint.LastAnswerAt = Now;
     Endpoint.ClockMs = Result.ClockMs;
     // The endpoint reads its clock when it answers. If the reading were dated
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -140,7 +140,7 @@
                Token = Request.FencingToken,
                Now](const EndpointResult &Result) {
         closeStart(Key, Attempt, Now);
-        onStartAnswer(Key, Attempt, AssignedTo, Token, Result);
+        onStartAnswer(Key, Attempt, AssignedTo, Token, Now, Result);
       }));
 }
 
@@ -175,7 +175,7 @@
 
 void Owner::onStartAnswer(const TaskKey &Key, int64_t Attempt,
                           const EndpointId &AssignedTo, int64_t Token,
-                          const EndpointResult &Result) {
+                          TimePoint Sent, const EndpointResult &Result) {
   auto Found = Table.find(AssignedTo);
   JobProgress *Job = jobOf(Key.Job);
   TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Key);
@@ -186,8 +186,9 @@
   bool IsAnswered = Result.Outcome != EndpointOutcome::Unknown &&
                     Result.Outcome != EndpointOutcome::Unavailable &&
                     Result.Outcome != EndpointOutcome::WrongIncarnation;
-  if (IsAnswered)
-    noteAlive(Endpoint);
+  // A clock that has gone back is that of another incarnation.
+  if (IsAnswered && Result.ClockMs >= Endpoint.ClockMs)
+    noteAlive(Endpoint, Sent, Result.ClockMs);
   if (Result.Outcome == EndpointOutcome::Done) {
     Task->StartConfirmedAt = Clock.now();
     Task->Phase = TaskPhase::Running;
