cell: runs of an endpoint's next incarnation do not count as crashed

Seen in random scenarios (RandomCrashesTest.FailsNoJobWhenRacksCrash; CountsCrashesWhenOwnersAreKilled): jobs that only ran where an endpoint had come back within a second were shown as failed, one while its tasks ended as done (LOST).

Cause: a start that was meant for the former incarnation may reach the next one. Until the owner hears of the restart, such a run counts as one of the former incarnation, just started. Each new owner counted the same run again.

Change: runs and ends that an incarnation lists belong to it. The crash is dated before the start of the present incarnation, as its clock shows, and a restart without a failed call is a loss that may show a common cause.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -225,6 +225,11 @@
   /// clock then; 0: unknown.
   void noteAlive(TrackedEndpoint &Endpoint, TimePoint Sent, int64_t ClockMs);
   void noteFailure(TrackedEndpoint &Endpoint);
+  /// The endpoint has answered as another incarnation than before.
+  void noteRestart(TrackedEndpoint &Endpoint, const RenewResult &Result);
+  /// Incarnation \p IncarnationMs of the endpoint has started the run.
+  void noteIncarnation(const TrackedEndpoint &Endpoint, const TaskKey &Key,
+                       int64_t Attempt, int64_t IncarnationMs);
   CrashTime crashTimeOf(const TrackedEndpoint &Endpoint) const;
   /// Runs on an endpoint of which \p NowMs is the present incarnation; 0: it
   /// does not answer.
--- a/src/teaselwalk/cell/owner_crash_times_test.cpp
+++ b/src/teaselwalk/cell/owner_crash_times_test.cpp
@@ -69,5 +69,47 @@
   expectState(Deadly, JobPhase::Failed);
 }
 
+// Guards against a crash that counts against runs which the next incarnation of
+// the endpoint has started, before the owner knew of it.
+TEST_F(OwnerCrashTimesTest, RunsOfTheNextIncarnationAreNotSuspected) {
+  begin(1, 1);
+  World.Processes.front()->Log.KeepsLines = true;
+  JobSpec Job = World.job(1, {World.step(2)});
+  World.Clock.runFor(Duration(200));
+  World.Cluster.crash(Only);
+  World.Clock.runFor(Duration(120));
+  World.Cluster.restart(Only);
+  World.listEndpoint(Only);
+  submit(Job);
+  World.Clock.runFor(Duration(3000));
+  EXPECT_EQ(World.Cluster.Starts, 2);
+  EXPECT_EQ(suspects().find(Job.Id.str()), std::string::npos) << suspects();
+  expectState(Job, JobPhase::Completed);
+}
+
+// The same if the owner changes again and again while they run.
+TEST_F(OwnerCrashTimesTest, RunsOfTheNextIncarnationSurviveTakeovers) {
+  begin(3, 1);
+  JobSpec Job = World.job(1, {World.step(2)});
+  World.Cluster.DefaultWork.Length = Duration(20000);
+  World.Clock.runFor(Duration(200));
+  World.Cluster.crash(Only);
+  World.Clock.runFor(Duration(120));
+  World.Cluster.restart(Only);
+  World.listEndpoint(Only);
+  submit(Job);
+  World.Clock.runFor(Duration(100));
+  ASSERT_EQ(World.Cluster.Starts, 2);
+  for (int Kill = 0; Kill < 5; ++Kill) {
+    size_t Owner = World.ownerIndex();
+    ASSERT_LT(Owner, World.Processes.size());
+    World.kill(Owner);
+    World.restart(Owner);
+    World.Clock.runFor(Duration(3000));
+  }
+  World.Clock.runFor(Duration(60000));
+  expectState(Job, JobPhase::Completed);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -40,6 +40,37 @@
            !suspectsOf(Crash, runsAtCrash(Endpoint, 0)).empty());
 }
 
+void Owner::noteRestart(TrackedEndpoint &Endpoint, const RenewResult &Result) {
+  // What the present incarnation lists has been started there, even if the
+  // request was meant for the one before.
+  for (const ActiveRun &Run : Result.Running)
+    noteIncarnation(Endpoint, Run.Task, Run.Attempt, Result.IncarnationMs);
+  for (const EndedRun &End : Result.Ends)
+    noteIncarnation(Endpoint, End.Task, End.Attempt, Result.IncarnationMs);
+  if (Endpoint.IncarnationMs == 0)
+    return;
+  // It has crashed before its present incarnation started. A start that has
+  // reached that one may have been answered, or a call may have failed, since.
+  TimePoint Latest = Clock.now() - Duration(Result.ClockMs);
+  bool HasFailed = Endpoint.FirstFailureAt != TimePoint();
+  Endpoint.FirstFailureAt =
+      HasFailed ? std::min(Endpoint.FirstFailureAt, Latest) : Latest;
+  Endpoint.LastAliveAt = std::min(Endpoint.LastAliveAt, Latest);
+  CrashTime Crash = crashTimeOf(Endpoint);
+  Lost.add(
+      Endpoint.Info.Id, Crash,
+      !suspectsOf(Crash, runsAtCrash(Endpoint, Result.IncarnationMs)).empty());
+}
+
+void Owner::noteIncarnation(const TrackedEndpoint &Endpoint, const TaskKey &Key,
+                            int64_t Attempt, int64_t IncarnationMs) {
+  JobProgress *Job = jobOf(Key.Job);
+  TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Key);
+  if (Task != nullptr && Task->Attempt == Attempt &&
+      Task->AssignedTo == Endpoint.Info.Id)
+    Task->IncarnationMs = IncarnationMs;
+}
+
 void Owner::noteSurvival(TrackedEndpoint &Endpoint) {
   if (Endpoint.FirstFailureAt != TimePoint())
     Lost.remove(Endpoint.Info.Id);
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -128,6 +128,7 @@
     noteSurvival(Endpoint);
     return true;
   }
+  noteRestart(Endpoint, Result);
   countCrash(Endpoint, Result.IncarnationMs);
   int64_t Before = std::exchange(Endpoint.IncarnationMs, Result.IncarnationMs);
   if (Before == 0)
--- a/src/teaselwalk/cell/random_crashes_test.cpp
+++ b/src/teaselwalk/cell/random_crashes_test.cpp
@@ -343,5 +343,14 @@
   runScenarios(Plan);
 }
 
+// Guards against counts of crashes that are lost when the owner is killed right
+// after a start, or between a crash and its count.
+TEST(RandomCrashesTest, CountsCrashesWhenOwnersAreKilled) {
+  CrashPlan Plan;
+  Plan.HasDeadlyTasks = true;
+  Plan.KillsOwners = true;
+  runScenarios(Plan);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
