cell: a job is given up once losses with a common cause would be known

Change: the second and third proven crash of a task end its job 2.6 s after the first failed call at the earliest, if there is still no common cause; until then the task is not started again. A fourth crash ends the job at once, as before.

Test, on code without the change: OwnerCrashTimesTest.LossesThatAreNoticedLaterShowACommonCause: state Failed, not Running. Now it passes.

Tried and reverted: only the second crash waits. One job that had not caused anything failed (FailsNoOtherJobWhenRacksCrash).

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -241,8 +241,10 @@
   void logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
                 const std::vector<RunAtCrash> &Runs,
                 const std::vector<RunAtCrash> &Suspects, bool IsProven);
-  /// Adds a crash to the account of \p Run. True if its job is to be given up.
-  bool countAgainst(const RunAtCrash &Run, bool IsProven);
+  /// Adds a crash to the account of \p Run, once for each attempt.
+  bool countAgainst(const RunAtCrash &Run);
+  /// Ends the jobs of those of \p Tasks with too many crashes.
+  void giveUp(const std::vector<TaskKey> &Tasks, bool IsProven);
   /// True if no task of job \p Id may be placed on \p Endpoint because of a
   /// suspected task of another job.
   bool isIsolated(const TrackedEndpoint &Endpoint, const JobId &Id) const;
--- a/src/teaselwalk/cell/owner_crash_times_test.cpp
+++ b/src/teaselwalk/cell/owner_crash_times_test.cpp
@@ -111,5 +111,35 @@
   expectState(Job, JobPhase::Completed);
 }
 
+// Guards against the failure of a job by a power failure if its endpoint is
+// back before the owner knows which others are lost.
+TEST_F(OwnerCrashTimesTest, LossesThatAreNoticedLaterShowACommonCause) {
+  begin(1, 4);
+  World.Cluster.DefaultWork.RunsUntilStopped = true;
+  JobSpec Job = World.job(1, {World.step(1)});
+  Job.Steps[0].Service = true;
+  TaskKey Key = taskOf(Job, 0, 0);
+  submit(Job);
+  for (int Crash = 1; Crash <= 2; ++Crash) {
+    for (int I = 0; I < 1000 && World.Cluster.StartsOf[Key] < Crash; ++I)
+      World.Clock.runFor(Duration(10));
+    ASSERT_EQ(World.Cluster.StartsOf[Key], Crash);
+    for (auto &[Id, Machine] : World.Cluster.Machines) {
+      bool RunsIt = Machine.Running.count(Key) != 0;
+      // The first time only the endpoint of the task crashes.
+      if (!RunsIt && Crash == 1)
+        continue;
+      World.Cluster.crash(Id);
+      Duration Pause = RunsIt && Crash == 2 ? Duration(150) : RestartTime;
+      World.Clock.after(Pause, [this, Id = Id] {
+        World.Cluster.restart(Id);
+        World.listEndpoint(Id);
+      });
+    }
+  }
+  World.Clock.runFor(Duration(30000));
+  expectState(Job, JobPhase::Running);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -123,13 +123,34 @@
       });
   bool IsProven = IsOneJob && !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
   logCrash(Endpoint, NowMs, Runs, Suspects, IsProven);
-  std::vector<TaskKey> GivenUp;
+  std::vector<TaskKey> Counted;
   for (const RunAtCrash &Run : Suspects)
-    if (countAgainst(Run, IsProven))
-      GivenUp.push_back(Run.Task);
-  for (const TaskKey &Key : GivenUp)
-    endJob(*jobOf(Key.Job), JobPhase::Failed,
-           "endpoints have crashed under task " + textOf(Key));
+    if (countAgainst(Run))
+      Counted.push_back(Run.Task);
+  Duration Delay = Crash.FirstFailureAt + ContactTimeout - Clock.now();
+  if (!IsProven || Delay.count() <= 0)
+    return giveUp(Counted, IsProven);
+  giveUp(Counted, false);
+  // Other endpoints that were lost at the same time may not be known yet.
+  for (const TaskKey &Key : Counted)
+    if (TaskProgress &Task = *jobOf(Key.Job)->find(Key);
+        Task.Crashes >= CrashesToGiveUp)
+      Task.NotBefore = Clock.now() + Delay;
+  Clock.after(Delay, guarded([this, Id = Endpoint.Info.Id, Crash, Counted] {
+                giveUp(Counted, !Lost.haveCommonCause(Id, Crash));
+              }));
+}
+
+void Owner::giveUp(const std::vector<TaskKey> &Tasks, bool IsProven) {
+  for (const TaskKey &Key : Tasks) {
+    JobProgress *Job = jobOf(Key.Job);
+    if (Job == nullptr || Job->isEnded() ||
+        Job->find(Key)->Phase == TaskPhase::Done)
+      continue;
+    if (Job->find(Key)->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes))
+      endJob(*Job, JobPhase::Failed,
+             "endpoints have crashed under task " + textOf(Key));
+  }
 }
 
 void Owner::logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
@@ -159,7 +180,7 @@
              {"suspects", Names}});
 }
 
-bool Owner::countAgainst(const RunAtCrash &Run, bool IsProven) {
+bool Owner::countAgainst(const RunAtCrash &Run) {
   JobProgress *Job = jobOf(Run.Task.Job);
   TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
   if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done ||
@@ -168,7 +189,7 @@
   Task->CrashedAttempt = Run.Attempt;
   ++Task->Crashes;
   markChanged(*Job);
-  return Task->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes);
+  return true;
 }
 
 bool Owner::isIsolated(const TrackedEndpoint &Endpoint, const JobId &Id) const {
--- a/src/teaselwalk/cell/random_crashes_test.cpp
+++ b/src/teaselwalk/cell/random_crashes_test.cpp
@@ -343,6 +343,23 @@
   runScenarios(Plan);
 }
 
+// Guards against jobs that fail because racks lose power while they run there.
+TEST(RandomCrashesTest, FailsNoJobWhenRacksCrash) {
+  CrashPlan Plan;
+  Plan.CrashesRacks = true;
+  Plan.HasGangs = true;
+  Plan.HasServices = true;
+  runScenarios(Plan);
+}
+
+// The same beside tasks that crash their endpoints.
+TEST(RandomCrashesTest, FailsNoOtherJobWhenRacksCrash) {
+  CrashPlan Plan;
+  Plan.CrashesRacks = true;
+  Plan.HasDeadlyTasks = true;
+  runScenarios(Plan);
+}
+
 // Guards against counts of crashes that are lost when the owner is killed right
 // after a start, or between a crash and its count.
 TEST(RandomCrashesTest, CountsCrashesWhenOwnersAreKilled) {
