cell: a renewal that is lost ends the long wait of a shared endpoint

After a lost answer the next renewal waited 1 s again, so a tail latency above its target was seen after 3.3 s, of the 4 s that the platform tolerates. The control loop's state counts as unknown after a failed renewal, so the next one waits 300 ms. By reading; the test of endpoints that may need another limit covers the wait itself.

--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -88,6 +88,7 @@
     Endpoint.HasOpenLongPoll = false;
   if (Result.Outcome != EndpointOutcome::Done) {
     Endpoint.IsIncarnationConfirmed = false;
+    Endpoint.IsCpuLimitSettled = false;
     Log.count("renewals_failed");
     if (Result.Outcome != EndpointOutcome::StaleToken)
       noteFailure(Endpoint);
