cell: an endpoint that answers starts is not silent

An owner that handles answers 310 ms late gave back starts that were already stored, and placed them again.

Change: an answered start request counts as a sign of life too, as long as a renewal was answered within the time in which leases are extended.

Test LateRenewalsLoseNoStartsWhereOthersAreAnswered failed before: 8 of 100 starts given back with answers that take 0.5 s. It is none now.

--- a/src/teaselwalk/cell/endpoint_faults_test.cpp
+++ b/src/teaselwalk/cell/endpoint_faults_test.cpp
@@ -55,5 +55,26 @@
   EXPECT_GT(Load(400) - Early, 200);
 }
 
+// Guards against starts that are given back because renewals, which wait for
+// 1 s, are answered late, although the endpoint answers other starts meanwhile.
+TEST(EndpointFaultsTest, LateRenewalsLoseNoStartsWhereOthersAreAnswered) {
+  constexpr int Jobs = 100;
+  FakeWorld World;
+  World.addEndpoints(1, {20000, 20000, 0, 0, 0});
+  World.addProcesses(1);
+  World.Cluster.DefaultWork.Length = Duration(60000);
+  World.Clock.runFor(Duration(1500));
+  FakeProcess &Process = *World.Processes[0];
+  Process.Endpoints.Latency = Duration(250);
+  Process.Store.Latency = Duration(100);
+  for (int I = 1; I <= Jobs; ++I) {
+    World.send(0, CallerAction::Submit, World.job(I, {World.step(1, 100)}));
+    World.Clock.runFor(Duration(100));
+  }
+  World.Clock.runFor(Duration(5000));
+  EXPECT_EQ(Process.Log.Events[EventName::RunLost], 0);
+  EXPECT_EQ(World.Cluster.Starts, Jobs);
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -25,7 +25,9 @@
   return Endpoint.IsListed && !Endpoint.Info.Draining &&
          Endpoint.Info.Service == Service &&
          Endpoint.FencedToken == Endpoint.Token && Endpoint.StrayRuns.empty() &&
-         Now - Endpoint.LastAnswerAt < MaxSilenceToStart &&
+         Now - std::max(Endpoint.LastAnswerAt, Endpoint.LastAliveAt) <
+             MaxSilenceToStart &&
+         Now - Endpoint.LastAnswerAt < ContactTimeout &&
          Endpoint.SuspendedUntil <= Now &&
          Hooks.Desired->EvacuatedDataCentres.count(Endpoint.Info.DataCentre) ==
              0;
--- a/src/teaselwalk/cell/testing/fake_endpoints.hpp
+++ b/src/teaselwalk/cell/testing/fake_endpoints.hpp
@@ -16,6 +16,7 @@
       : Network(Network), Own(Own), Cluster(Cluster) {}
 
   bool IsPartitioned = false; ///< No endpoint is reachable.
+  Duration Latency{1};        ///< One way.
   /// Number of next starts that get no answer and are carried out `StartDelay`
   /// later.
   int DelayStarts = 0;
@@ -78,7 +79,6 @@
   }
 
 private:
-  static constexpr Duration Latency{1};
   static constexpr Duration RequestTimeout{800};
   static constexpr Duration RenewSlack{1000};
   static constexpr Duration PollInterval{10};
