--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -82,7 +82,7 @@
   /// bundles; 0: none.
   int64_t SeparateVersion = 0;
   TimePoint AcceptedAt;
-  TimePoint Objective; ///< Latest completion that is on time.
+  TimePoint Objective;       ///< Latest completion that is on time.
   int32_t ReservedTasks = 0; ///< Tasks that hold room on an endpoint.
   /// The starts of isolated tasks will be tried again.
   bool IsStartPostponed = false;
