--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -11,9 +11,11 @@
 #include "teaselwalk/cell/open_jobs.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
+#include "teaselwalk/cell/scheduling_pass.hpp"
 #include "teaselwalk/cell/start_window.hpp"
 #include "teaselwalk/cell/step_advice.hpp"
 #include "teaselwalk/cell/store_mirror.hpp"
+#include "teaselwalk/cell/stored_records.hpp"
 #include "teaselwalk/cell/team_rates.hpp"
 
 #include <deque>
@@ -91,44 +93,9 @@
   }
 
 private:
-  /// A step with waiting tasks, and what decides when it is placed.
-  struct BacklogStep {
-    JobProgress *Job = nullptr;
-    StepKey Key;
-    int32_t Priority = 0;
-    bool IsWorthless = false; ///< So late that its result has no value.
-    bool IsOverRate = false;  ///< Submitted beyond the rate of its team.
-    TimePoint Objective;
-  };
-
-  /// What one scheduling pass has found out. Room only shrinks in a pass.
-  struct PassState {
-    std::unordered_map<std::string, std::vector<TrackedEndpoint *>> Usable;
-    /// Needs for which no endpoint had room, by service.
-    std::unordered_map<std::string, std::vector<Resources>> Failed;
-    size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
-  };
-
   /// The rules for the tasks of one step.
   class StepRules;
 
-  /// A job and the version of its record that was written.
-  using RecordVersion = std::pair<JobId, int64_t>;
-  /// The records in one write to the store.
-  struct StoreWrite {
-    std::vector<RecordVersion> Separate; ///< Each under the key of its job.
-    std::string Bundle;                  ///< Key of the bundle; empty: none.
-    std::vector<RecordVersion> Bundled;  ///< Together under the key `Bundle`.
-    std::vector<JobId> Removed;          ///< Jobs of which nothing is left.
-  };
-
-  /// The records of one job in the store; the newer one counts.
-  struct StoredRecords {
-    std::string Separate; ///< Under the key of the job; empty: none.
-    std::string Bundled;  ///< Newest one in a bundle; empty: none.
-    int64_t BundledVersion = 0;
-  };
-
   // owner_load.cpp
   void loadState();
   void loadRecord(StoreItem Item);
--- /dev/null
+++ b/include/teaselwalk/cell/scheduling_pass.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "teaselwalk/base/resources.hpp"
+#include "teaselwalk/cell/endpoint_table.hpp"
+#include "teaselwalk/cell/job_progress.hpp"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace teaselwalk::cell {
+
+/// A step with waiting tasks, and what decides when it is placed.
+struct BacklogStep {
+  JobProgress *Job = nullptr;
+  StepKey Key;
+  int32_t Priority = 0;
+  bool IsWorthless = false; ///< So late that its result has no value.
+  bool IsOverRate = false;  ///< Submitted beyond the rate of its team.
+  TimePoint Objective;
+};
+
+/// What one scheduling pass has found out. Room only shrinks in a pass.
+struct PassState {
+  std::unordered_map<std::string, std::vector<TrackedEndpoint *>> Usable;
+  /// Needs for which no endpoint had room, by service.
+  std::unordered_map<std::string, std::vector<Resources>> Failed;
+  size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
+};
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -97,7 +97,7 @@
   requestSchedulingPass();
 }
 
-std::vector<Owner::BacklogStep> Owner::collectBacklog() {
+std::vector<BacklogStep> Owner::collectBacklog() {
   std::vector<BacklogStep> Result;
   TimePoint Now = Clock.now();
   for (auto It = Backlog.begin(); It != Backlog.end();) {
