--- a/src/teaselwalk/cell/random_crashes_test.cpp
+++ b/src/teaselwalk/cell/random_crashes_test.cpp
@@ -297,11 +297,6 @@
 constexpr uint32_t FirstSeed = 20261205;
 constexpr uint32_t ScenarioCount = 12;
 
-uint32_t fromEnvironment(const char *Name, uint32_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text == nullptr ? Default : static_cast<uint32_t>(std::stoul(Text));
-}
-
 void runScenarios(const CrashPlan &Plan) {
   uint32_t First = fromEnvironment("FUZZ_SEED", FirstSeed);
   uint32_t Count = fromEnvironment("FUZZ_CASES", ScenarioCount);
--- a/src/teaselwalk/cell/random_faults_test.cpp
+++ b/src/teaselwalk/cell/random_faults_test.cpp
@@ -129,11 +129,6 @@
 constexpr uint32_t NetworkScenarios = 30;
 constexpr uint32_t DeadlyTaskScenarios = 30;
 
-uint32_t fromEnvironment(const char *Name, uint32_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text == nullptr ? Default : static_cast<uint32_t>(std::stoul(Text));
-}
-
 // Guards against combinations of faults that break a rule: no endpoint exceeds
 // its capacity, no task runs twice, no step starts before the ones it depends
 // on have ended, no refused job runs, and every accepted job ends.
--- a/src/teaselwalk/cell/testing/random_faults.hpp
+++ b/src/teaselwalk/cell/testing/random_faults.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdlib>
 #include <random>
 #include <string>
 
@@ -190,4 +191,10 @@
   const uint32_t Kinds;
 };
 
+/// The number in the environment variable \p Name, or \p Default.
+inline uint32_t fromEnvironment(const char *Name, uint32_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text == nullptr ? Default : static_cast<uint32_t>(std::stoul(Text));
+}
+
 } // namespace teaselwalk::cell::testing
