--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -96,9 +96,17 @@
   /// The rules for the tasks of one step.
   class StepRules;
 
+  /// When the parts of the stored state were read.
+  struct LoadTimes {
+    TimePoint StateListed;  ///< The progress records have arrived.
+    TimePoint StateApplied; ///< They are taken over; the jobs are requested.
+    TimePoint JobsListed;   ///< The first job has arrived.
+  };
+
   // owner_load.cpp
   void loadState();
   void loadRecord(StoreItem Item);
+  void logReady();
   static void restoreProgress(JobProgress &Job, const StoredRecords &Stored);
   void onIntakeItem(const StoreItem &Item);
   void addJob(const JobId &Id, const std::string &Text);
@@ -371,6 +379,7 @@
   std::set<std::pair<int64_t, JobId>> ToRemove;
   TimePoint NextContactAt; ///< Time of the latest first renewal that is due.
   int ContactsThen = 0;    ///< First renewals that are due at that time.
+  LoadTimes Loading;       ///< Of the state that is read after the claim.
   bool IsLoaded = false;
   bool IsPassRequested = false;
   TimePoint NextPassAt; ///< When the requested pass is due.
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -61,30 +61,47 @@
 void Owner::start() { loadState(); }
 
 void Owner::loadState() {
-  Storage.list(
-      StatePrefix, LoadPageTimeout, guarded([this](StoreItems Result) {
-        if (Result.Outcome != StoreOutcome::Done) {
-          Clock.after(LoadRetry, guarded([this] { loadState(); }));
-          return;
-        }
-        for (StoreItem &Item : Result.Items)
-          loadRecord(std::move(Item));
-        Intake.start([this] {
-          IsLoaded = true;
-          RecordsToRestore.clear();
-          Log.event(
-              EventName::OwnerReady,
-              {{"epoch", std::to_string(Epoch)},
-               {"jobs", std::to_string(Jobs.size())},
-               {"open", std::to_string(Open.size())},
-               {"after_ms", std::to_string((Clock.now() - GainedAt).count())}});
-          Discovery.start();
-          tick();
-        });
-      }));
+  Storage.list(StatePrefix, LoadPageTimeout, guarded([this](StoreItems Result) {
+                 if (Result.Outcome != StoreOutcome::Done) {
+                   Clock.after(LoadRetry, guarded([this] { loadState(); }));
+                   return;
+                 }
+                 Loading.StateListed = Clock.now();
+                 for (StoreItem &Item : Result.Items)
+                   loadRecord(std::move(Item));
+                 Loading.StateApplied = Clock.now();
+                 Intake.start([this] {
+                   IsLoaded = true;
+                   RecordsToRestore.clear();
+                   logReady();
+                   Discovery.start();
+                   tick();
+                 });
+               }));
+}
+
+void Owner::logReady() {
+  TimePoint Now = Clock.now();
+  // Without jobs no first one has arrived.
+  if (Jobs.empty())
+    Loading.JobsListed = Now;
+  auto Between = [](TimePoint From, TimePoint To) {
+    return std::to_string((To - From).count());
+  };
+  Log.event(
+      EventName::OwnerReady,
+      {{"epoch", std::to_string(Epoch)},
+       {"jobs", std::to_string(Jobs.size())},
+       {"open", std::to_string(Open.size())},
+       {"after_ms", Between(GainedAt, Now)},
+       {"list_state_ms", Between(GainedAt, Loading.StateListed)},
+       {"apply_state_ms", Between(Loading.StateListed, Loading.StateApplied)},
+       {"list_jobs_ms", Between(Loading.StateApplied, Loading.JobsListed)},
+       {"apply_jobs_ms", Between(Loading.JobsListed, Now)}});
 }
 
 void Owner::loadRecord(StoreItem Item) {
+  Log.count("records_loaded", 1);
   if (startsWith(Item.Key, BundlePrefix))
     return loadBundle(Item.Key, Item.Value);
   JobId Id(Item.Key.substr(std::strlen(StatePrefix)));
@@ -114,6 +131,11 @@
 void Owner::addJob(const JobId &Id, const std::string &Text) {
   if (Jobs.count(Id) != 0)
     return;
+  if (!IsLoaded) {
+    if (Loading.JobsListed == TimePoint())
+      Loading.JobsListed = Clock.now();
+    Log.count("records_loaded", 1);
+  }
   try {
     auto Added = std::make_unique<JobProgress>(decodeJob(Id, Text));
     JobProgress &Job = *Added;
