--- a/src/teaselwalk/cell/testing/fake_clock.hpp
+++ b/src/teaselwalk/cell/testing/fake_clock.hpp
@@ -107,8 +107,11 @@
     performLate();
   }
 
+  /// For how long the scheduler's thread has worked on its current item.
   Duration stalledFor() const {
-    return BlockedAt ? now() - *BlockedAt : Duration(0);
+    if (BlockedAt)
+      return now() - *BlockedAt;
+    return IsBusy ? Shared.now() - ItemStartedAt : Duration(0);
   }
 
   /// Makes all work but that of `control()` wait until `endBacklog`, as behind
@@ -162,6 +165,7 @@
     while (!Due.empty() && !Dead && Pending < Duration(1)) {
       auto Work = std::move(Due.front());
       Due.pop_front();
+      ItemStartedAt = Shared.now();
       ProcessorTime Before = Pending;
       Pending += WorkTime;
       Work();
@@ -186,6 +190,7 @@
   FakeClock &Shared;
   std::deque<std::function<void()>> Due; ///< Waits for the processor.
   bool IsBusy = false;
+  TimePoint ItemStartedAt;  ///< Start of the latest work.
   ProcessorTime Pending{0}; ///< Time until the processor is free.
   ProcessorTime Spent{0};   ///< By `spend` in the work that is being done.
   bool Paused = false;
