cell: a takeover is applied in slices, so its owner stays the owner

Cause: all kept records were applied in one piece of work of the core. The owner lease (1.25 s) and the limit for one item (2 s) are shorter than that, so the owner was replaced before it was ready, and the next one began anew. Class: recovery whose work grows with history and outlasts the failure detector, so that it never ends.

Change: records and changes of mirrors are applied in slices (doInSlices), between which renewals of the lease and other work have their turn.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -105,6 +105,8 @@
 
   // owner_load.cpp
   void loadState();
+  void loadRecords(std::vector<StoreItem> Items);
+  void onLoaded();
   void loadRecord(StoreItem Item);
   void logReady();
   static void restoreProgress(JobProgress &Job, const StoredRecords &Stored);
--- a/include/teaselwalk/cell/store_mirror.hpp
+++ b/include/teaselwalk/cell/store_mirror.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace teaselwalk::cell {
 
@@ -28,7 +29,7 @@
 };
 
 /// Mirrors the items under a prefix of the store: lists and watches the prefix
-/// and reports every change of an item.
+/// and reports every change of an item. Many changes are reported in slices.
 class StoreMirror {
 public:
   using ItemCallback = std::function<void(const StoreItem &)>;
@@ -50,10 +51,16 @@
   void list();
   void watch();
   void schedule(Duration Delay, void (StoreMirror::*Method)());
-  void onList(const StoreItems &Result, TimePoint SentAt);
-  void onEvents(const StoreItems &Result, TimePoint SentAt);
-  void removeMissing(const StoreItems &Listed);
+  void onList(StoreItems Result, TimePoint SentAt);
+  void onEvents(StoreItems Result, TimePoint SentAt);
+  void finishList(TimePoint SentAt);
+  /// Removals of the known items that are missing in \p Listed.
+  std::vector<StoreItem> missingIn(const StoreItems &Listed) const;
+  /// Reports the changes among \p Items in slices, then calls \p Done.
+  void applyAll(std::vector<StoreItem> Items, std::function<void()> Done);
   void apply(const StoreItem &Item);
+  /// True if \p Item is newer than what was reported of it.
+  bool isChange(const StoreItem &Item) const;
   void noteSuccess(TimePoint SentAt);
   void noteFailure(const char *Call, StoreOutcome Outcome);
 
@@ -69,9 +76,7 @@
   std::optional<TimePoint> ConfirmedAt;
   std::optional<TimePoint> AnsweredAt;
   bool IsFailing = false;
-  /// Callbacks hold a weak pointer to it, so that they do nothing once this
-  /// object is destroyed.
-  std::shared_ptr<char> Alive = std::make_shared<char>();
+  Lifetime Alive;
 };
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/base/error.hpp"
 #include "teaselwalk/cell/keys.hpp"
 #include "teaselwalk/cell/owner.hpp"
+#include "teaselwalk/cell/sliced_work.hpp"
 
 #include <algorithm>
 #include <cstring>
@@ -67,19 +68,31 @@
                    return;
                  }
                  Loading.StateListed = Clock.now();
-                 for (StoreItem &Item : Result.Items)
-                   loadRecord(std::move(Item));
-                 Loading.StateApplied = Clock.now();
-                 Intake.start([this] {
-                   IsLoaded = true;
-                   RecordsToRestore.clear();
-                   logReady();
-                   Discovery.start();
-                   tick();
-                 });
+                 loadRecords(std::move(Result.Items));
                }));
 }
 
+void Owner::loadRecords(std::vector<StoreItem> Items) {
+  size_t Count = Items.size();
+  doInSlices(
+      Clock, Alive, Count,
+      [this, Items = std::move(Items)](size_t Index) mutable {
+        loadRecord(std::move(Items[Index]));
+      },
+      [this] {
+        Loading.StateApplied = Clock.now();
+        Intake.start([this] { onLoaded(); });
+      });
+}
+
+void Owner::onLoaded() {
+  IsLoaded = true;
+  RecordsToRestore.clear();
+  logReady();
+  Discovery.start();
+  tick();
+}
+
 void Owner::logReady() {
   TimePoint Now = Clock.now();
   // Without jobs no first one has arrived.
--- a/src/teaselwalk/cell/store_mirror.cpp
+++ b/src/teaselwalk/cell/store_mirror.cpp
@@ -1,5 +1,7 @@
 #include "teaselwalk/cell/store_mirror.hpp"
 
+#include "teaselwalk/cell/sliced_work.hpp"
+
 #include <algorithm>
 #include <unordered_set>
 #include <utility>
@@ -17,32 +19,31 @@
 }
 
 void StoreMirror::schedule(Duration Delay, void (StoreMirror::*Method)()) {
-  Clock.after(Delay, [this, Method, Token = std::weak_ptr<char>(Alive)] {
-    if (!Token.expired())
-      (this->*Method)();
-  });
+  Clock.after(Delay, Alive.guard([this, Method] { (this->*Method)(); }));
 }
 
 void StoreMirror::list() {
-  TimePoint SentAt = Clock.now();
-  Storage.list(
-      Options.Prefix, Options.PageTimeout,
-      [this, SentAt, Token = std::weak_ptr<char>(Alive)](const StoreItems &R) {
-        if (!Token.expired())
-          onList(R, SentAt);
-      });
+  Storage.list(Options.Prefix, Options.PageTimeout,
+               Alive.guard([this, SentAt = Clock.now()](StoreItems Result) {
+                 onList(std::move(Result), SentAt);
+               }));
 }
 
-void StoreMirror::onList(const StoreItems &Result, TimePoint SentAt) {
+void StoreMirror::onList(StoreItems Result, TimePoint SentAt) {
   if (Result.Outcome != StoreOutcome::Done) {
     noteFailure("list", Result.Outcome);
     return schedule(Options.RetryPause, &StoreMirror::list);
   }
   ListedAt = SentAt;
   AtRevision = Result.AtRevision;
-  removeMissing(Result);
-  for (const StoreItem &Item : Result.Items)
-    apply(Item);
+  std::vector<StoreItem> Changes = missingIn(Result);
+  for (StoreItem &Item : Result.Items)
+    if (isChange(Item))
+      Changes.push_back(std::move(Item));
+  applyAll(std::move(Changes), [this, SentAt] { finishList(SentAt); });
+}
+
+void StoreMirror::finishList(TimePoint SentAt) {
   noteSuccess(SentAt);
   if (auto Done = std::exchange(OnSynced, nullptr))
     Done();
@@ -51,18 +52,17 @@
   schedule(Options.RelistInterval, &StoreMirror::list);
 }
 
-void StoreMirror::removeMissing(const StoreItems &Listed) {
+std::vector<StoreItem> StoreMirror::missingIn(const StoreItems &Listed) const {
   std::unordered_set<std::string> Present;
   for (const StoreItem &Item : Listed.Items)
     Present.insert(Item.Key);
-  std::vector<std::string> Missing;
+  std::vector<StoreItem> Missing;
   for (const auto &[Key, Revision] : Revisions)
     // The listing is no snapshot: an item may have been written after its page
     // was read. Items that are newer than the first page are kept.
     if (Present.count(Key) == 0 && Revision <= Listed.AtRevision)
-      Missing.push_back(Key);
-  for (const std::string &Key : Missing)
-    apply({Key, "", Listed.AtRevision, true});
+      Missing.push_back({Key, "", Listed.AtRevision, true});
+  return Missing;
 }
 
 void StoreMirror::watch() {
@@ -70,40 +70,51 @@
   if (SentAt - ListedAt >= Options.RelistInterval)
     return list();
   Storage.watch(Options.Prefix, AtRevision, Options.WatchWait,
-                [this, SentAt,
-                 Token = std::weak_ptr<char>(Alive)](const StoreItems &Result) {
-                  if (!Token.expired())
-                    onEvents(Result, SentAt);
-                });
+                Alive.guard([this, SentAt](StoreItems Result) {
+                  onEvents(std::move(Result), SentAt);
+                }));
 }
 
-void StoreMirror::onEvents(const StoreItems &Result, TimePoint SentAt) {
+void StoreMirror::onEvents(StoreItems Result, TimePoint SentAt) {
   if (Result.Outcome == StoreOutcome::Compacted)
     return list();
   if (Result.Outcome != StoreOutcome::Done) {
     noteFailure("watch", Result.Outcome);
     return schedule(Options.RetryPause, &StoreMirror::watch);
   }
-  for (const StoreItem &Item : Result.Items)
-    apply(Item);
-  AtRevision = std::max(AtRevision, Result.AtRevision);
-  noteSuccess(SentAt);
-  if (Options.WatchPause.count() > 0)
-    return schedule(Options.WatchPause, &StoreMirror::watch);
-  watch();
+  applyAll(std::move(Result.Items),
+           [this, SentAt, Revision = Result.AtRevision] {
+             AtRevision = std::max(AtRevision, Revision);
+             noteSuccess(SentAt);
+             if (Options.WatchPause.count() > 0)
+               return schedule(Options.WatchPause, &StoreMirror::watch);
+             watch();
+           });
 }
 
-void StoreMirror::apply(const StoreItem &Item) {
+void StoreMirror::applyAll(std::vector<StoreItem> Items,
+                           std::function<void()> Done) {
+  size_t Count = Items.size();
+  doInSlices(
+      Clock, Alive, Count,
+      [this, Items = std::move(Items)](size_t Index) { apply(Items[Index]); },
+      std::move(Done));
+}
+
+bool StoreMirror::isChange(const StoreItem &Item) const {
   auto Known = Revisions.find(Item.Key);
-  if (Item.Deleted) {
-    if (Known == Revisions.end() || Known->second > Item.Revision)
-      return;
-    Revisions.erase(Known);
-    return OnChange(Item);
-  }
-  if (Known != Revisions.end() && Known->second >= Item.Revision)
+  if (Item.Deleted)
+    return Known != Revisions.end() && Known->second <= Item.Revision;
+  return Known == Revisions.end() || Known->second < Item.Revision;
+}
+
+void StoreMirror::apply(const StoreItem &Item) {
+  if (!isChange(Item))
     return;
-  Revisions[Item.Key] = Item.Revision;
+  if (Item.Deleted)
+    Revisions.erase(Item.Key);
+  else
+    Revisions[Item.Key] = Item.Revision;
   OnChange(Item);
 }
 
