cell: bundles do not pile up while every write is full

Cause: records beyond the keys of one write share a bundle, and a bundle was removed only while nothing else was to be written, which under load does not happen. A takeover read all of them, most of them outdated. Class: recovery work that grows with history.

Change: BundleTable knows which records of a bundle are needed. A bundle without needed records is removed with the next write, in two entries that each write leaves; with more than 16 bundles what is left of the smallest is written again.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/cell/advice_dispatcher.hpp"
 #include "teaselwalk/cell/advice_search.hpp"
+#include "teaselwalk/cell/bundle_table.hpp"
 #include "teaselwalk/cell/configuration.hpp"
 #include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/endpoint_table.hpp"
@@ -145,7 +146,16 @@
   // owner_bundles.cpp
   std::string encodeBundle(StoreWrite &Next, size_t MaxBytes);
   void loadBundle(const std::string &Key, const std::string &Value);
+  /// Forgets the records in bundles that are not needed by any job, once all
+  /// jobs are loaded.
+  void forgetUnusedBundles();
+  /// Writes the records of a bundle under their own keys if nothing else is to
+  /// be written.
   void compactBundles();
+  /// Queues what is left of the smallest bundle if there are many.
+  void limitBundles();
+  /// Adds removals of bundles as far as \p Capacity allows.
+  void addBundleRemovals(StoreTransaction &Change, size_t Capacity);
 
   // owner_renewals.cpp
   void renewLater(const EndpointId &Id, Duration Delay);
@@ -346,8 +356,7 @@
   /// Progress records, by job; read before the jobs and dropped once all jobs
   /// are loaded.
   std::unordered_map<JobId, StoredRecords> RecordsToRestore;
-  /// Contents of the bundles in the store, by key.
-  std::map<std::string, std::vector<RecordVersion>> Bundles;
+  BundleTable Bundles;
   /// Jobs whose cancellation was read before the job itself.
   std::unordered_set<JobId> EarlyCancellations;
   OpenJobs Open;
--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -4,12 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 /// A write can set only a few keys. While the store is slow, more records
 /// change than one write has keys for; those beyond it are stored together
-/// under one key, as a bundle. A bundle is removed once each of its jobs has a
-/// record of the same or a later version under its own key.
+/// under one key, as a bundle. A bundle is removed once the store holds the
+/// same or later versions of its records elsewhere. While there are many, what
+/// is left of the smallest one is written again, so that a takeover reads few.
 namespace teaselwalk::cell {
 namespace {
 
@@ -17,6 +16,10 @@
 
 /// Records of a bundle that are written under their own keys at a time.
 constexpr size_t RecordsPerCompaction = 20;
+/// With more bundles, those with few needed records are emptied.
+constexpr size_t MaxBundles = 16;
+/// Records that one write moves from such a bundle to a new one.
+constexpr size_t RecordsPerMove = 200;
 
 } // namespace
 
@@ -39,7 +42,7 @@
 
 void Owner::loadBundle(const std::string &Key, const std::string &Value) {
   try {
-    std::vector<RecordVersion> &Rows = Bundles[Key];
+    std::vector<RecordVersion> Rows;
     const Json Records = Json::parse(Value);
     for (const auto &[Id, Record] : Records.items()) {
       std::string Text = Record.get<std::string>();
@@ -51,36 +54,46 @@
       Known.Bundled = std::move(Text);
       Known.BundledVersion = Version;
     }
+    Bundles.add(Key, Rows);
   } catch (const Json::exception &Failure) {
     Log.event(EventName::RecordMalformed,
               {{"key", Key}, {"reason", Failure.what()}});
   }
 }
 
+void Owner::forgetUnusedBundles() {
+  for (const JobId &Id : Bundles.neededJobs()) {
+    const JobProgress *Job = jobOf(Id);
+    if (Job == nullptr)
+      Bundles.drop(Id);
+    else
+      Bundles.supersede(Id, Job->SeparateVersion);
+  }
+}
+
 void Owner::compactBundles() {
-  if (Writer.isBusy() || !WriteQueue.empty() || Bundles.empty())
+  if (Writer.isBusy() || !WriteQueue.empty())
     return;
-  auto Oldest = Bundles.begin();
-  size_t Queued = 0;
-  for (const auto &[Id, Version] : Oldest->second) {
-    JobProgress *Job = jobOf(Id);
-    if (Job == nullptr || Job->SeparateVersion >= Version)
-      continue;
+  for (const JobId &Id : Bundles.smallest(RecordsPerCompaction))
     queueWrite(Id);
-    if (++Queued == RecordsPerCompaction)
-      break;
-  }
-  if (Queued > 0)
+  if (!WriteQueue.empty() || !Bundles.hasUnneeded())
     return;
   StoreTransaction Change;
-  Change.Removes.push_back(Oldest->first);
-  Bundles.erase(Oldest);
-  Writer.commit(std::move(Change), guarded([this](bool IsDone) {
-                  if (!IsDone)
-                    return Hooks.OwnershipLost(
-                        "the epoch record names another owner");
-                  requestWrite();
-                }));
+  addBundleRemovals(Change, FencedWriter::Capacity);
+  commitWrite(std::move(Change), {});
+}
+
+void Owner::limitBundles() {
+  if (Bundles.size() <= MaxBundles)
+    return;
+  for (const JobId &Id : Bundles.smallest(RecordsPerMove))
+    queueWrite(Id);
+}
+
+void Owner::addBundleRemovals(StoreTransaction &Change, size_t Capacity) {
+  while (Bundles.hasUnneeded() &&
+         Change.Puts.size() + Change.Removes.size() < Capacity)
+    Change.Removes.push_back(Bundles.takeUnneeded());
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -88,6 +88,7 @@
 void Owner::onLoaded() {
   IsLoaded = true;
   RecordsToRestore.clear();
+  forgetUnusedBundles();
   logReady();
   Discovery.start();
   tick();
@@ -337,6 +338,7 @@
 void Owner::dropRemoved(const std::vector<JobId> &Removed) {
   for (const JobId &Id : Removed) {
     Jobs.erase(Id);
+    Bundles.drop(Id);
     Log.event(EventName::JobRemoved, {{"job", Id.str()}});
   }
 }
--- a/src/teaselwalk/cell/owner_retention_test.cpp
+++ b/src/teaselwalk/cell/owner_retention_test.cpp
@@ -93,6 +93,17 @@
   EXPECT_EQ(World.violations(), "");
 }
 
+// Guards against a takeover that grows with the length of the day because
+// bundles are only removed while nothing else is to be written (issue 26).
+TEST(OwnerRetentionTest, BundlesDoNotPileUpWhileEveryWriteIsFull) {
+  constexpr size_t MostBundles = 20;
+  SteadyLoad Load(Duration(3600000), Duration(120));
+  Load.runFor(Duration(20000));
+  EXPECT_GT(Load.storedItems(BundlePrefix), 0U);
+  EXPECT_LE(Load.storedItems(BundlePrefix), MostBundles);
+  EXPECT_EQ(Load.World.violations(), "");
+}
+
 // Guards against a crash of the owner: the record of a cancelled job still
 // names an endpoint when a later owner removes the job before that endpoint has
 // answered.
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -11,9 +11,12 @@
 /// No record is added to a write that has this many bytes.
 constexpr size_t MaxWriteBytes = 300000;
 
+/// Entries of a write that are left for the removal of bundles.
+constexpr size_t BundleRemovals = 2;
+
 /// Records with a key of their own in one write. One more entry is left for a
 /// bundle.
-constexpr size_t RecordsPerWrite = FencedWriter::Capacity - 1;
+constexpr size_t RecordsPerWrite = FencedWriter::Capacity - BundleRemovals - 1;
 
 constexpr std::array<EnumName<JobPhase>, 5> StatusNames = {{
     {JobPhase::Queued, "queued"},
@@ -65,6 +68,7 @@
 void Owner::writeChanged() {
   if (Writer.isBusy() || WriteQueue.empty())
     return;
+  limitBundles();
   StoreTransaction Change;
   StoreWrite Next;
   size_t Bytes = 0;
@@ -81,6 +85,7 @@
     Change.Puts.push_back({Next.Bundle, std::move(Value), 0});
   }
   // Removals use what is left, so they cost no writes and delay none.
+  addBundleRemovals(Change, FencedWriter::Capacity);
   addRemovals(Change, Next);
   Log.count("journal_writes");
   Log.count("journal_records",
@@ -110,12 +115,13 @@
   for (const RecordVersion &Row : Stored.Separate) {
     if (JobProgress *Job = jobOf(Row.first))
       Job->SeparateVersion = Row.second;
+    Bundles.supersede(Row.first, Row.second);
     Note(Row);
   }
   for (const RecordVersion &Row : Stored.Bundled)
     Note(Row);
   if (!Stored.Bundle.empty())
-    Bundles[Stored.Bundle] = Stored.Bundled;
+    Bundles.add(Stored.Bundle, Stored.Bundled);
   for (auto It = WithUnacknowledgedEnds.begin();
        It != WithUnacknowledgedEnds.end();) {
     auto Found = Table.find(*It);
