cell: odd records in the store are reported and replaced, not obeyed

Seen in tests: a record that cannot be read under the owner or epoch key ended every claim (an exception left the claim open), so no process could become the owner again; a port of 70,000 became 4,464, and 1e30 was converted without a defined result.

Change: numbers of records are read with their ranges (record_fields.hpp).

--- a/include/teaselwalk/cell/fenced_writer.hpp
+++ b/include/teaselwalk/cell/fenced_writer.hpp
@@ -9,6 +9,9 @@
 
 namespace teaselwalk::cell {
 
+/// Fencing tokens are computed from epochs up to this one without overflow.
+constexpr int64_t MaxEpoch = 1000000000;
+
 /// Value of the epoch key: the owner and the number of its latest write.
 struct EpochRecord {
   std::string Process;  ///< Id of the owning process.
--- a/include/teaselwalk/cell/owner_election.hpp
+++ b/include/teaselwalk/cell/owner_election.hpp
@@ -85,6 +85,8 @@
 
 private:
   void onItem(const StoreItem &Item);
+  /// The record of the owner cannot be read.
+  void onOwnerUnknown();
   void scheduleClaim(Duration Delay);
   /// True if there is no owner, or one that is suspected or dead.
   bool isVacant() const;
@@ -96,6 +98,8 @@
   void claim();
   void claimWithLease(int64_t NewLease);
   void commitClaim(int64_t NewLease, const StoreItems &StoredEpoch);
+  /// The epoch in the record \p Stored, or none if it cannot be read.
+  std::optional<int64_t> epochIn(const StoreItem &Stored) const;
   void onClaimed(int64_t NewLease, const EpochRecord &Record,
                  const CommitResult &Result);
   void resolveClaim(int64_t NewLease, const EpochRecord &Record, int Attempt);
@@ -103,6 +107,8 @@
                    int64_t Revision);
   void abandonClaim(int64_t NewLease);
   void renew();
+  /// True if \p Text, the value of `OwnerKey`, names this process.
+  bool isOwnRecord(const std::string &Text) const;
   void verifyOwnerKey(TimePoint Sent);
   void renewLater();
   /// Notes that the store names a new owner.
--- a/src/teaselwalk/cell/fenced_writer.cpp
+++ b/src/teaselwalk/cell/fenced_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/error.hpp"
 #include "teaselwalk/cell/keys.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -17,8 +18,9 @@
 EpochRecord EpochRecord::decode(const std::string &Text) {
   try {
     nlohmann::json Document = nlohmann::json::parse(Text);
-    return {Document.at("process"), Document.at("epoch"),
-            Document.at("sequence")};
+    return {Document.at("process"),
+            integerField(Document, "epoch", 1, MaxEpoch),
+            integerField(Document, "sequence", 0, MaxRecordNumber)};
   } catch (const nlohmann::json::exception &Failure) {
     throw Error(std::string("cannot read epoch record: ") + Failure.what());
   }
@@ -65,7 +67,14 @@
   for (const StoreItem &Item : Result.Items) {
     if (Item.Key != EpochKey || Item.Revision == 0)
       continue;
-    EpochRecord Found = EpochRecord::decode(Item.Value);
+    EpochRecord Found;
+    try {
+      Found = EpochRecord::decode(Item.Value);
+    } catch (const Error &Failure) {
+      Log.event(EventName::RecordMalformed,
+                {{"key", Item.Key}, {"reason", Failure.what()}});
+      return finish(false);
+    }
     if (Found.Process != Held.Process || Found.Epoch != Held.Epoch)
       return finish(false);
     Revision = Item.Revision;
--- a/src/teaselwalk/cell/job.cpp
+++ b/src/teaselwalk/cell/job.cpp
@@ -1,6 +1,7 @@
 #include "teaselwalk/cell/job.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -59,21 +60,35 @@
   return Row;
 }
 
+int64_t numberOr(const Json &Record, const char *Name, int64_t Default) {
+  return Record.contains(Name) ? integerField(Record, Name, 0, MaxRecordNumber)
+                               : Default;
+}
+
+int32_t countField(const Json &Record, const char *Name) {
+  return static_cast<int32_t>(integerField(Record, Name, 0, MaxRecordCount));
+}
+
+int32_t countOr(const Json &Record, const char *Name, int32_t Default) {
+  return Record.contains(Name) ? countField(Record, Name) : Default;
+}
+
 StepSpec decodeStep(const Json &Row) {
   StepSpec Step;
-  Step.Tasks = Row.at("tasks");
-  Step.Need.MilliCpu = Row.at("cpu");
-  Step.Need.MemoryMb = Row.at("memory");
-  Step.Need.Accelerators = Row.value("accelerators", int64_t(0));
-  Step.Estimate = Duration(Row.at("estimate").get<int64_t>());
+  Step.Tasks = countField(Row, "tasks");
+  Step.Need.MilliCpu = integerField(Row, "cpu", 0, MaxRecordNumber);
+  Step.Need.MemoryMb = integerField(Row, "memory", 0, MaxRecordNumber);
+  Step.Need.Accelerators = numberOr(Row, "accelerators", 0);
+  Step.Estimate = Duration(
+      integerField(Row, "estimate", -MaxRecordNumber, MaxRecordNumber));
   Step.After = Row.value("after", std::vector<int32_t>());
   Step.RequiredLabel = Row.value("label", "");
   Step.DataRack = Row.value("rack", "");
   Step.Image = Row.value("image", "");
-  Step.MaxPerEndpoint = Row.value("per_endpoint", 0);
-  Step.MaxUnavailable = Row.value("unavailable", 0);
-  Step.TailTarget = Duration(Row.value("tail", int64_t(0)));
-  int Flags = Row.value("flags", 0);
+  Step.MaxPerEndpoint = countOr(Row, "per_endpoint", 0);
+  Step.MaxUnavailable = countOr(Row, "unavailable", 0);
+  Step.TailTarget = Duration(numberOr(Row, "tail", 0));
+  int Flags = countOr(Row, "flags", 0);
   Step.Checkpoints = (Flags & 1) != 0;
   Step.Gang = (Flags & 2) != 0;
   Step.OneRack = (Flags & 4) != 0;
@@ -98,17 +113,21 @@
 QueuePolicy decodePolicy(const Json &Row) {
   QueuePolicy Policy;
   Policy.Service = Row.at("service");
-  Policy.Priority = Row.at("priority");
-  Policy.MaxAttempts = Row.at("attempts");
+  Policy.Priority = static_cast<int32_t>(
+      integerField(Row, "priority", -MaxRecordCount, MaxRecordCount));
+  Policy.MaxAttempts = static_cast<int32_t>(
+      integerField(Row, "attempts", -MaxRecordCount, MaxRecordCount));
   Policy.SlackFactor = Row.at("slack");
-  Policy.Target = Duration(Row.at("target").get<int64_t>());
+  Policy.Target = Duration(integerField(Row, "target", 0, MaxRecordNumber));
   auto Advice = Row.find("advice");
   if (Advice == Row.end())
     return Policy;
   Policy.NeedsAdvice = true;
-  Policy.AdviceBase = Duration(Advice->at(0).get<int64_t>());
+  Policy.AdviceBase =
+      Duration(integerIn(Advice->at(0), "advice", 0, MaxRecordNumber));
   Policy.AdvicePerEndpointMs = Advice->at(1);
-  Policy.TicketValidity = Duration(Advice->at(2).get<int64_t>());
+  Policy.TicketValidity =
+      Duration(integerIn(Advice->at(2), "advice", 0, MaxRecordNumber));
   return Policy;
 }
 
@@ -170,13 +189,16 @@
     Job.Payload = Document.at("payload");
     for (const Json &Row : Document.at("steps"))
       Job.Steps.push_back(decodeStep(Row));
-    Job.AcceptedMs = Document.at("accepted");
+    Job.AcceptedMs = integerField(Document, "accepted", 0, MaxRecordNumber);
     Job.Policy = decodePolicy(Document.at("policy"));
     auto Schedule = Document.find("schedule");
     if (Schedule != Document.end()) {
-      Job.Repetitions = Schedule->at(0);
-      Job.FirstStartMs = Schedule->at(1);
-      Job.IntervalMs = Schedule->at(2);
+      Job.Repetitions = static_cast<int32_t>(
+          integerIn(Schedule->at(0), "schedule", 0, MaxRecordCount));
+      Job.FirstStartMs =
+          integerIn(Schedule->at(1), "schedule", 0, MaxRecordNumber);
+      Job.IntervalMs =
+          integerIn(Schedule->at(2), "schedule", 0, MaxRecordNumber);
     }
     validate(Job);
     return Job;
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -1,6 +1,7 @@
 #include "teaselwalk/cell/job_progress.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -33,22 +34,28 @@
   return Row;
 }
 
+int32_t countIn(const Json &Value, const char *Name) {
+  return static_cast<int32_t>(integerIn(Value, Name, 0, MaxRecordCount));
+}
+
 void restoreTask(const Json &Value, TaskProgress &Task) {
   if (Value.is_number()) {
-    Task.Phase = Value.get<int>() == 1 ? TaskPhase::Done : TaskPhase::Waiting;
+    Task.Phase = integerIn(Value, "tasks", 0, 1) == 1 ? TaskPhase::Done
+                                                      : TaskPhase::Waiting;
     return;
   }
-  Task.Attempt = Value.at(0);
-  Task.Failures = Value.at(1);
+  Task.Attempt = integerIn(Value.at(0), "attempt", 1, MaxRecordNumber);
+  Task.Failures = countIn(Value.at(1), "failures");
   Task.AssignedTo = EndpointId(Value.at(2).get<std::string>());
   Task.Phase =
       Task.AssignedTo.empty() ? TaskPhase::Waiting : TaskPhase::Assigned;
   if (Value.size() > 3)
     Task.Checkpoint = Value.at(3);
   if (Value.size() > 4)
-    Task.Crashes = Value.at(4);
+    Task.Crashes = countIn(Value.at(4), "crashes");
   if (Value.size() > 5)
-    Task.IncarnationMs = Value.at(5);
+    Task.IncarnationMs =
+        integerIn(Value.at(5), "incarnation", 0, MaxRecordNumber);
 }
 
 } // namespace
@@ -167,11 +174,14 @@
 void JobProgress::restore(const std::string &Text) {
   try {
     Json Document = Json::parse(Text);
-    Status = static_cast<JobPhase>(Document.at("status").get<int>());
+    Status = static_cast<JobPhase>(integerField(
+        Document, "status", 0, static_cast<int64_t>(JobPhase::Cancelled)));
     StoredStatus = Status;
-    EndedMs = Document.value("ended", int64_t(0));
+    EndedMs = Document.contains("ended")
+                  ? integerField(Document, "ended", 0, MaxRecordNumber)
+                  : 0;
     IsStarted = Document.value("started", false);
-    Version = Document.at("version");
+    Version = integerField(Document, "version", 0, MaxRecordNumber);
     StoredVersion = Version;
     const Json &Rows = Document.at("tasks");
     for (size_t K = 0; K < Occurrences.size(); ++K) {
@@ -187,8 +197,11 @@
 }
 
 int64_t JobProgress::versionOf(const std::string &Text) {
-  Json Document = Json::parse(Text, nullptr, false);
-  return Document.is_object() ? Document.value("version", int64_t(0)) : 0;
+  try {
+    return integerField(Json::parse(Text), "version", 0, MaxRecordNumber);
+  } catch (const std::exception &) {
+    return 0;
+  }
 }
 
 void JobProgress::recount(OccurrenceProgress &Occurrence) {
--- a/src/teaselwalk/cell/owner_election.cpp
+++ b/src/teaselwalk/cell/owner_election.cpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/error.hpp"
 #include "teaselwalk/cell/keys.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -55,7 +56,7 @@
     nlohmann::json Document = nlohmann::json::parse(Text);
     return {Document.at("process"),
             ProcessRecord::decode(Document.at("self").get<std::string>()),
-            Document.at("epoch")};
+            integerField(Document, "epoch", 1, MaxEpoch)};
   } catch (const nlohmann::json::exception &Failure) {
     throw Error(std::string("cannot read owner record: ") + Failure.what());
   }
@@ -94,15 +95,14 @@
       scheduleClaim(Self.ClaimDelay);
     return;
   }
+  KnownRevision = Item.Revision;
   try {
     KnownOwner = OwnerRecord::decode(Item.Value);
   } catch (const Error &Failure) {
-    // Ignored: its writer does not renew it, so its lease expires.
     Log.event(EventName::RecordMalformed,
               {{"key", Item.Key}, {"reason", Failure.what()}});
-    return;
+    return onOwnerUnknown();
   }
-  KnownRevision = Item.Revision;
   noteChange(KnownOwner->Epoch);
   bool IsOwn = KnownOwner->ProcessId == Self.ProcessId;
   // A process with far fewer CPU cores than the owner does not watch it, as it
@@ -115,6 +115,17 @@
     stepDown("the store names another process as the owner");
 }
 
+/// The record may have no lease that ends, so it is replaced like that of an
+/// owner that does not answer.
+void OwnerElection::onOwnerUnknown() {
+  KnownOwner.reset();
+  Detector.stop();
+  if (isOwner())
+    return stepDown("the owner record cannot be read");
+  if (IsSynced)
+    scheduleClaim(Self.ClaimDelay);
+}
+
 void OwnerElection::scheduleClaim(Duration Delay) {
   if (HasResigned || IsClaimScheduled)
     return;
@@ -238,8 +249,7 @@
   int64_t Revision = 0;
   if (!StoredEpoch.Items.empty()) {
     Revision = StoredEpoch.Items.front().Revision;
-    Record.Epoch =
-        EpochRecord::decode(StoredEpoch.Items.front().Value).Epoch + 1;
+    Record.Epoch = epochIn(StoredEpoch.Items.front()).value_or(LatestEpoch) + 1;
   }
   StoreTransaction Change;
   Change.Conditions = {{OwnerKey, ReplacedRevision}, {EpochKey, Revision}};
@@ -254,6 +264,16 @@
                  }));
 }
 
+std::optional<int64_t> OwnerElection::epochIn(const StoreItem &Stored) const {
+  try {
+    return EpochRecord::decode(Stored.Value).Epoch;
+  } catch (const Error &Failure) {
+    Log.event(EventName::RecordMalformed,
+              {{"key", Stored.Key}, {"reason", Failure.what()}});
+    return std::nullopt;
+  }
+}
+
 void OwnerElection::onClaimed(int64_t NewLease, const EpochRecord &Record,
                               const CommitResult &Result) {
   if (Result.Outcome == StoreOutcome::Done)
@@ -270,8 +290,7 @@
       guarded([this, NewLease, Record, Attempt](const StoreItems &StoredEpoch) {
         if (StoredEpoch.Outcome == StoreOutcome::Done) {
           const StoreItem &Item = StoredEpoch.Items.front();
-          EpochRecord Found = EpochRecord::decode(Item.Value);
-          if (Found.Process == Record.Process && Found.Epoch == Record.Epoch)
+          if (Item.Value == Record.encode())
             return becomeOwner(NewLease, Record, Item.Revision);
           return abandonClaim(NewLease);
         }
@@ -323,6 +342,14 @@
                      }));
 }
 
+bool OwnerElection::isOwnRecord(const std::string &Text) const {
+  try {
+    return OwnerRecord::decode(Text).ProcessId == Self.ProcessId;
+  } catch (const Error &) {
+    return false;
+  }
+}
+
 /// Checks that `OwnerKey` still names this process. A renewal does not show
 /// that: the lease stays valid when another process has overwritten the key.
 void OwnerElection::verifyOwnerKey(TimePoint Sent) {
@@ -333,8 +360,7 @@
           return;
         bool IsGone = Found.Outcome == StoreOutcome::NotFound;
         if (Found.Outcome == StoreOutcome::Done)
-          IsGone = OwnerRecord::decode(Found.Items.front().Value).ProcessId !=
-                   Self.ProcessId;
+          IsGone = !isOwnRecord(Found.Items.front().Value);
         if (IsGone)
           return stepDown("the owner record was replaced or removed");
         if (Found.Outcome == StoreOutcome::Done)
--- a/src/teaselwalk/cell/process_registration.cpp
+++ b/src/teaselwalk/cell/process_registration.cpp
@@ -1,9 +1,12 @@
 #include "teaselwalk/cell/process_registration.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 namespace teaselwalk::cell {
 namespace {
 
@@ -15,6 +18,9 @@
 constexpr Duration RetryPause{300};
 constexpr Duration CallTimeout{700};
 
+constexpr int64_t MaxPort = std::numeric_limits<uint16_t>::max();
+constexpr double MaxCores = 4096;
+
 } // namespace
 
 void ProcessRegistration::schedule(Duration Delay,
@@ -79,7 +85,12 @@
 ProcessRecord ProcessRecord::decode(const std::string &Text) {
   try {
     nlohmann::json Document = nlohmann::json::parse(Text);
-    return {{Document.at("ip"), Document.at("port")}, Document.at("strength")};
+    ProcessRecord Record;
+    Record.Address.Ip = Document.at("ip").get<std::string>();
+    Record.Address.Port =
+        static_cast<uint16_t>(integerField(Document, "port", 1, MaxPort));
+    Record.Cores = positiveField(Document, "strength", MaxCores);
+    return Record;
   } catch (const nlohmann::json::exception &Failure) {
     throw Error(std::string("cannot read process record: ") + Failure.what());
   }
