--- a/src/teaselwalk/node/peer_protocol.cpp
+++ b/src/teaselwalk/node/peer_protocol.cpp
@@ -1,6 +1,7 @@
 #include "peer_protocol.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -8,6 +9,9 @@
 namespace {
 
 using Json = nlohmann::json;
+using cell::integerField;
+using cell::MaxRecordCount;
+using cell::MaxRecordNumber;
 
 /// Parses \p Text and passes it to \p Decode. Throws `Error` in place of the
 /// JSON library's exceptions.
@@ -20,6 +24,21 @@
   }
 }
 
+/// The value \p Name of an enum whose last value is \p Last.
+template <typename Enum>
+Enum enumField(const Json &Body, const char *Name, Enum Last) {
+  return static_cast<Enum>(
+      integerField(Body, Name, 0, static_cast<int64_t>(Last)));
+}
+
+int32_t countField(const Json &Body, const char *Name) {
+  return static_cast<int32_t>(integerField(Body, Name, 0, MaxRecordCount));
+}
+
+Duration durationField(const Json &Body, const char *Name) {
+  return Duration(integerField(Body, Name, 0, MaxRecordNumber));
+}
+
 } // namespace
 
 std::string encode(const cell::JobQueryResult &Answer) {
@@ -72,7 +91,7 @@
     cell::JobQueryResult Answer;
     Answer.IsAnswered = Body.at("answered");
     Answer.IsKnown = Body.at("known");
-    Answer.Status = static_cast<cell::JobPhase>(Body.at("status").get<int>());
+    Answer.Status = enumField(Body, "status", cell::JobPhase::Cancelled);
     Answer.Queue = Body.at("queue");
     Answer.Team = Body.at("team");
     return Answer;
@@ -83,7 +102,7 @@
   return decodeWith(Text, [](const Json &Body) {
     cell::PendingQueryResult Answer;
     Answer.IsAnswered = Body.at("answered");
-    Answer.Count = Body.at("count");
+    Answer.Count = integerField(Body, "count", 0, MaxRecordNumber);
     return Answer;
   });
 }
@@ -98,7 +117,7 @@
 cell::ProbeAnswer decodeProbeAnswer(const std::string &Text) {
   return decodeWith(Text, [](const Json &Body) {
     return cell::ProbeAnswer{Body.at("process"),
-                             Duration(Body.at("stalled_ms").get<int64_t>())};
+                             durationField(Body, "stalled_ms")};
   });
 }
 
@@ -106,10 +125,10 @@
   return decodeWith(Text, [](const Json &Body) {
     ForwardedAdviceRequest Request;
     Request.Step = {JobId(Body.at("job").get<std::string>()),
-                    Body.at("occurrence"), Body.at("step")};
+                    countField(Body, "occurrence"), countField(Body, "step")};
     for (const Json &Id : Body.at("candidates"))
       Request.Candidates.emplace_back(Id.get<std::string>());
-    Request.Timeout = Duration(Body.at("timeout_ms").get<int64_t>());
+    Request.Timeout = durationField(Body, "timeout_ms");
     return Request;
   });
 }
@@ -117,12 +136,11 @@
 cell::Advice decodeAdvice(const std::string &Text) {
   return decodeWith(Text, [](const Json &Body) {
     cell::Advice Answer;
-    Answer.Outcome =
-        static_cast<cell::AdviceOutcome>(Body.at("outcome").get<int>());
+    Answer.Outcome = enumField(Body, "outcome", cell::AdviceOutcome::Dropped);
     for (const Json &Row : Body.at("tickets"))
       Answer.Tickets.emplace_back(EndpointId(Row.at(0).get<std::string>()),
                                   Row.at(1).get<std::string>());
-    Answer.Validity = Duration(Body.at("valid_for_ms").get<int64_t>());
+    Answer.Validity = durationField(Body, "valid_for_ms");
     return Answer;
   });
 }
--- a/src/teaselwalk/node/peer_protocol.hpp
+++ b/src/teaselwalk/node/peer_protocol.hpp
@@ -29,9 +29,9 @@
 std::string encode(const ForwardedAdviceRequest &Request);
 std::string encode(const cell::Advice &Answer);
 
-/// Each throws `Error` if the text is not JSON, or if a field is absent or
-/// cannot be converted. The range of `status` and `outcome` is not checked; an
-/// unknown `health` yields `OwnerHealth::Unknown`.
+/// Each throws `Error` if the text is not JSON, or if a field is absent, of
+/// another type or out of range. An unknown `health` yields
+/// `OwnerHealth::Unknown`.
 cell::JobQueryResult decodeJobAnswer(const std::string &Text);
 cell::PendingQueryResult decodePendingAnswer(const std::string &Text);
 cell::OwnerHealth decodeHealth(const std::string &Text);
