--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -16,8 +16,10 @@
 
 /// Records of a bundle that are written under their own keys at a time.
 constexpr size_t RecordsPerCompaction = 20;
-/// With more bundles, those with few needed records are emptied.
-constexpr size_t MaxBundles = 16;
+/// With more bundles, the one with the fewest needed records is emptied.
+/// Records of running jobs are soon outdated, so a lower limit would move many
+/// in vain.
+constexpr size_t MaxBundles = 64;
 /// Records that one write moves from such a bundle to a new one.
 constexpr size_t RecordsPerMove = 200;
 
