cell: a record that the store does not take stops no other job

Cause: the record of a job listed the tasks of all its repetitions ever (1,066,275 bytes, the store takes 1,048,576), and the owner repeated a write that the store had answered with 400 every 100 ms, while all its writes share one chain. The belief was that a refused write passes later.

Change: only open repetitions are kept, in memory and in the record; runs of equal tasks are one pair. A write that the store calls invalid is taken apart, and a job whose record is still rejected is set aside and named in the log. Paths with the same belief, mended with it: bundles (quoting doubles their records), checkpoints, specs and steps that can never be stored (503 with Retry-After, now 400), many jobs in one write, rejected removals, tasks of one occurrence in memory. The number of entries of a write was within its limit.

The simulated store now has the platform's limit of a value.

--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -21,6 +21,7 @@
   JobRefused,
   JobFinished,
   JobCancelled,
+  JobSetAside,
   TaskStarting,
   TaskStarted,
   TaskFinished,
@@ -77,7 +78,7 @@
   ProcessLoad,
 };
 
-constexpr std::array<EnumName<EventName>, 69> EventNames = {{
+constexpr std::array<EnumName<EventName>, 70> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -93,6 +94,7 @@
     {EventName::JobRefused, "job_refused"},
     {EventName::JobFinished, "job_finished"},
     {EventName::JobCancelled, "job_cancelled"},
+    {EventName::JobSetAside, "job_set_aside"},
     {EventName::TaskStarting, "task_starting"},
     {EventName::TaskStarted, "task_started"},
     {EventName::TaskFinished, "task_finished"},
--- a/include/teaselwalk/cell/bundle_table.hpp
+++ b/include/teaselwalk/cell/bundle_table.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace teaselwalk::cell {
@@ -33,6 +34,8 @@
   bool hasUnneeded() const { return !Unneeded.empty(); }
   /// Removes a bundle without needed records from the table; returns its key.
   std::string takeUnneeded();
+  /// Takes back a bundle of `takeUnneeded` that was not removed from the store.
+  void keepUnneeded(std::string Key) { Unneeded.push_back(std::move(Key)); }
 
 private:
   struct NeededRecord {
--- a/include/teaselwalk/cell/fenced_writer.hpp
+++ b/include/teaselwalk/cell/fenced_writer.hpp
@@ -23,6 +23,15 @@
   static EpochRecord decode(const std::string &Text);
 };
 
+/// How a write of an owner has ended.
+enum class WriteOutcome {
+  Written,
+  OwnershipLost, ///< The epoch key names another owner; nothing was written.
+  /// The store takes this write for invalid, so it never will succeed. Nothing
+  /// was written, and other writes may follow.
+  Rejected,
+};
+
 /// Sends the writes of one owner to the store. Each write also sets the epoch
 /// key, on condition that its revision is still that of the write before. So
 /// writes take effect in order or not at all, even if an answer is lost or the
@@ -38,11 +47,9 @@
 
   bool isBusy() const { return IsBusy; }
 
-  /// Writes \p Change, which must have no conditions, and repeats it until it
-  /// took effect or the epoch key names another owner. \p Done is called with
-  /// true in the first case, with false in the second. Must not be called while
-  /// `isBusy`.
-  void commit(StoreTransaction Change, std::function<void(bool)> Done);
+  /// Writes \p Change, which must have no conditions, and repeats it until its
+  /// outcome is known. Must not be called while `isBusy`.
+  void commit(StoreTransaction Change, std::function<void(WriteOutcome)> Done);
 
   /// When the latest write that took effect was sent; the ownership had not
   /// changed by then.
@@ -52,7 +59,7 @@
   void attempt();
   void onResult(const CommitResult &Result);
   void retry(StoreOutcome Outcome);
-  void finish(bool Written);
+  void finish(WriteOutcome Outcome);
 
   Executor &Clock;
   Store &Target;
@@ -66,7 +73,7 @@
   TimePoint SentAt; ///< When the latest attempt was sent.
   TimePoint ConfirmedAt;
   StoreTransaction Current;
-  std::function<void(bool)> Done;
+  std::function<void(WriteOutcome)> Done;
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
--- a/include/teaselwalk/cell/job.hpp
+++ b/include/teaselwalk/cell/job.hpp
@@ -4,6 +4,7 @@
 #include "teaselwalk/base/resources.hpp"
 #include "teaselwalk/base/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -89,6 +90,7 @@
   QueuePolicy Policy;       ///< As configured when the job was accepted.
 
   int32_t occurrences() const { return Repetitions > 0 ? Repetitions : 1; }
+  size_t tasksPerOccurrence() const;
 };
 
 enum class JobPhase { Queued, Running, Completed, Failed, Cancelled };
@@ -96,6 +98,10 @@
 /// Checks \p Job and throws `InvalidInput` with every mistake found.
 void validate(const JobSpec &Job);
 
+/// The steps of one occurrence of a job have at most this many tasks together;
+/// the owner keeps the progress of each open one in memory.
+constexpr size_t MaxTasksPerOccurrence = 64000;
+
 /// Sum of the estimates on the longest chain of dependent steps.
 Duration longestChain(const JobSpec &Job);
 
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -4,7 +4,9 @@
 #include "teaselwalk/cell/job.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -59,13 +61,15 @@
 
 /// Progress of one occurrence: a repetition of a job, or its only run.
 struct OccurrenceProgress {
-  bool IsDue = false; ///< Its start time has come.
   int32_t StepsDone = 0;
+  int32_t ReservedTasks = 0; ///< Tasks that hold room on an endpoint.
   std::vector<StepProgress> Steps;
 };
 
 /// A job and its progress. The methods keep the counters consistent; the
-/// scheduling decisions are made in `Owner`.
+/// scheduling decisions are made in `Owner`. Only open occurrences are kept: a
+/// schedule may have thousands of repetitions, and its record has to fit into
+/// one value of the store.
 class JobProgress {
 public:
   explicit JobProgress(JobSpec Given);
@@ -88,7 +92,17 @@
   bool IsStartPostponed = false;
   /// Submitted beyond the rate that its team is entitled to.
   bool IsOverRate = false;
-  std::vector<OccurrenceProgress> Occurrences;
+  /// The open occurrences: they were due and have not ended.
+  std::map<int32_t, OccurrenceProgress> Occurrences;
+  /// The next occurrence to open. Earlier ones that are not open have ended.
+  int32_t NextOccurrence = 0;
+  bool AreAllDue = false; ///< The last occurrence was due when last checked.
+  /// The store has rejected the record as invalid and holds an older one.
+  bool IsRecordRejected = false;
+  /// False: the record leaves out checkpoints, with which it is too large.
+  bool StoresCheckpoints = true;
+  /// No task is placed earlier; set when the record was rejected.
+  TimePoint SetAsideUntil;
 
   bool isEnded() const { return EndedMs != 0; }
   TaskProgress *find(const TaskKey &Key);
@@ -96,6 +110,18 @@
     return Spec.Steps[static_cast<size_t>(Key.Step)];
   }
   StepProgress &stateOf(const TaskKey &Key);
+  const StepProgress &stateOf(const TaskKey &Key) const;
+
+  /// When occurrence \p Number is due, wall clock in ms.
+  int64_t dueMs(int32_t Number) const {
+    return Spec.FirstStartMs + int64_t(Number) * Spec.IntervalMs;
+  }
+  /// Opens the occurrences that are due at \p WallMs, as long as the job has
+  /// few open tasks.
+  void openDue(int64_t WallMs);
+  /// Drops the repetitions that have ended and hold no room; returns their
+  /// numbers.
+  std::vector<int32_t> closeEnded();
 
   /// True if all tasks of the steps in `After` of \p Step are done.
   bool isReady(const OccurrenceProgress &Occurrence, size_t Step) const;
@@ -118,6 +144,7 @@
   static int64_t versionOf(const std::string &Text);
 
 private:
+  void open(int32_t Number);
   void recount(OccurrenceProgress &Occurrence);
 };
 
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -37,6 +37,7 @@
   Duration MaxTaskLease{6000}; ///< Longest lease an endpoint grants.
   /// Records of a job are removed this long after its end.
   Duration StatusKept{120000};
+  size_t MaxRecordBytes = 1048576; ///< Largest value that the store takes.
   std::string EndpointPrefix; ///< Prefix of the discovery list in the store.
   /// Reads an entry of the discovery list; throws `Error` if it cannot.
   std::function<EndpointInfo(const StoreItem &)> DecodeEndpoint;
@@ -132,8 +133,15 @@
   void queueWrite(const JobId &Id);
   /// Writes what has changed soon, also if the next pass is not due by then.
   void requestWrite();
+  /// The same if there is something to write.
+  void requestNextWrite();
   /// Removes and returns the first job of `WriteQueue`; null if there is none.
-  const JobProgress *takeNextChanged();
+  JobProgress *takeNextChanged();
+  /// Puts a job that was taken back to the front of `WriteQueue`.
+  void returnToQueue(const JobId &Id);
+  /// The record of \p Job; nothing, and the job is set aside, if the record is
+  /// too large for the store.
+  std::optional<std::string> encodeRecord(JobProgress &Job);
   void writeChanged();
   void commitWrite(StoreTransaction Change, StoreWrite Next);
   void onWritten(const StoreWrite &Stored);
@@ -143,8 +151,22 @@
   /// \p Why: for the log, such as the task that has failed.
   void endJob(JobProgress &Job, JobPhase Status, const std::string &Why);
 
+  // owner_rejected_writes.cpp
+  /// The store has rejected \p Write as invalid.
+  void onRejected(const StoreWrite &Write);
+  /// Queues the record of a job for a write of its own.
+  void queueSeparateWrite(const JobId &Id);
+  /// Writes the next record of `SeparateWrites`.
+  void writeSeparately();
+  /// The record of \p Job cannot be stored.
+  void setAside(JobProgress &Job, size_t RecordBytes);
+
   // owner_bundles.cpp
+  /// Clears `Next.Bundle` if no record fits into one.
   std::string encodeBundle(StoreWrite &Next, size_t MaxBytes);
+  /// Limit of the records in a bundle, except for the last one.
+  size_t maxBundleBytes() const;
+  static bool isBundleKey(const std::string &Key);
   void loadBundle(const std::string &Key, const std::string &Value);
   /// Forgets the records in bundles that are not needed by any job, once all
   /// jobs are loaded.
@@ -267,6 +289,9 @@
   void runSchedulingPass();
   void updateDueJobs();
   void addReadySteps(JobProgress &Job);
+  void closeEndedOccurrences(JobProgress &Job);
+  /// Drops the steps of one occurrence from the backlog, with their advice.
+  void forgetSteps(const JobProgress &Job, int32_t Occurrence);
   std::vector<BacklogStep> collectBacklog();
   void placeStep(const BacklogStep &Next);
   /// The endpoints of \p Service on which tasks may start in this pass.
@@ -385,6 +410,8 @@
   int64_t NextBundle = 1;       ///< Number in the key of the next bundle.
   std::deque<JobId> WriteQueue; ///< Jobs whose records must be written.
   std::unordered_set<JobId> InWriteQueue; ///< The same jobs, for look-up.
+  /// Jobs of a rejected write, whose records are written one at a time.
+  std::deque<JobId> SeparateWrites;
   /// Ended jobs with records in the store and when they ended, on the wall
   /// clock in ms.
   std::set<std::pair<int64_t, JobId>> ToRemove;
--- a/include/teaselwalk/cell/request_handler.hpp
+++ b/include/teaselwalk/cell/request_handler.hpp
@@ -46,6 +46,7 @@
   std::function<TimePoint()> StoreReachedAt;
   /// Decodes the body of a submission; throws if it is malformed.
   std::function<JobSpec(const std::string &Body)> DecodeSubmission;
+  size_t MaxRecordBytes = 0; ///< Largest value that the store takes.
 };
 
 /// Handles the requests of callers. A submission is accepted only after its
--- a/include/teaselwalk/cell/stored_records.hpp
+++ b/include/teaselwalk/cell/stored_records.hpp
@@ -13,10 +13,11 @@
 using RecordVersion = std::pair<JobId, int64_t>;
 /// The records in one write to the store.
 struct StoreWrite {
-  std::vector<RecordVersion> Separate; ///< Each under the key of its job.
-  std::string Bundle;                  ///< Key of the bundle; empty: none.
-  std::vector<RecordVersion> Bundled;  ///< Together under the key `Bundle`.
-  std::vector<JobId> Removed;          ///< Jobs of which nothing is left.
+  std::vector<RecordVersion> Separate;     ///< Each under the key of its job.
+  std::string Bundle;                      ///< Key of the bundle; empty: none.
+  std::vector<RecordVersion> Bundled;      ///< Together under the key `Bundle`.
+  std::vector<JobId> Removed;              ///< Jobs of which nothing is left.
+  std::vector<std::string> RemovedBundles; ///< Their keys.
 };
 
 /// The records of one job in the store; the newer one counts.
--- a/include/teaselwalk/node/settings.hpp
+++ b/include/teaselwalk/node/settings.hpp
@@ -29,6 +29,7 @@
   protocol::Address Readiness; ///< Listens here for readiness probes.
   protocol::Address Peers;     ///< Listens here for the other processes.
   protocol::Address Store;
+  int64_t MaxStoreValueBytes = 1048576; ///< Largest value the store takes.
   protocol::Address Advisor; ///< Port 0: there is no advisory service.
   int64_t MaxDescriptors = 1024;
   double Cores = 1; ///< CPU cores that this process may use.
--- a/src/teaselwalk/cell/fenced_writer.cpp
+++ b/src/teaselwalk/cell/fenced_writer.cpp
@@ -32,7 +32,7 @@
       Revision(Revision) {}
 
 void FencedWriter::commit(StoreTransaction Change,
-                          std::function<void(bool)> Call) {
+                          std::function<void(WriteOutcome)> Call) {
   IsBusy = true;
   StartedAt = Clock.now();
   Attempts = 0;
@@ -60,8 +60,11 @@
 void FencedWriter::onResult(const CommitResult &Result) {
   if (Result.Outcome == StoreOutcome::Done) {
     Revision = Result.Revision;
-    return finish(true);
+    return finish(WriteOutcome::Written);
   }
+  // What the store takes for invalid stays so, however often it is sent.
+  if (Result.Outcome == StoreOutcome::Invalid)
+    return finish(WriteOutcome::Rejected);
   if (Result.Outcome != StoreOutcome::Conflict)
     return retry(Result.Outcome);
   for (const StoreItem &Item : Result.Items) {
@@ -73,14 +76,14 @@
     } catch (const Error &Failure) {
       Log.event(EventName::RecordMalformed,
                 {{"key", Item.Key}, {"reason", Failure.what()}});
-      return finish(false);
+      return finish(WriteOutcome::OwnershipLost);
     }
     if (Found.Process != Held.Process || Found.Epoch != Held.Epoch)
-      return finish(false);
+      return finish(WriteOutcome::OwnershipLost);
     Revision = Item.Revision;
     // An earlier attempt, whose answer was lost, has taken effect.
     if (Found.Sequence == Held.Sequence)
-      return finish(true);
+      return finish(WriteOutcome::Written);
     return attempt();
   }
   retry(Result.Outcome);
@@ -99,13 +102,13 @@
               });
 }
 
-void FencedWriter::finish(bool Written) {
+void FencedWriter::finish(WriteOutcome Outcome) {
   IsBusy = false;
-  if (Written)
+  if (Outcome == WriteOutcome::Written)
     ConfirmedAt = SentAt;
   Log.time("journal_commit", Clock.now() - StartedAt);
   if (auto Call = std::exchange(Done, nullptr))
-    Call(Written);
+    Call(Outcome);
 }
 
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/job.cpp
+++ b/src/teaselwalk/cell/job.cpp
@@ -154,6 +154,13 @@
     throw InvalidInput(std::move(Mistakes));
 }
 
+size_t JobSpec::tasksPerOccurrence() const {
+  size_t Count = 0;
+  for (const StepSpec &Step : Steps)
+    Count += static_cast<size_t>(Step.Tasks);
+  return Count;
+}
+
 Duration longestChain(const JobSpec &Job) {
   std::vector<Duration> EndOf(Job.Steps.size(), Duration(0));
   Duration Longest{0};
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -6,17 +6,25 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace teaselwalk::cell {
 namespace {
 
 using Json = nlohmann::json;
 
+/// A job has at most this many open tasks before another occurrence is opened.
+constexpr size_t MaxOpenTasks = 10000;
+/// Shorter runs of equal tasks are not shorter as a pair.
+constexpr size_t MinPairLength = 3;
+/// Elements of the pair that stands for a run of equal tasks.
+constexpr size_t PairSize = 2;
+
 /// In a record, a task is 0 (never assigned), 1 (done) or an array of attempt,
 /// failures, endpoint (empty unless the task may run there), checkpoint (empty:
 /// none), crashes and incarnation of the endpoint. Values at the end that are
 /// empty or 0 are left out.
-Json encodeTask(const TaskProgress &Task) {
+Json encodeTask(const TaskProgress &Task, bool WithCheckpoint) {
   if (Task.Phase == TaskPhase::Done)
     return 1;
   if (Task.Attempt == 0)
@@ -25,8 +33,9 @@
   Json Row = {Task.Attempt, Task.Failures, MayRun ? Task.AssignedTo.str() : ""};
   int64_t IncarnationMs = MayRun ? Task.IncarnationMs : 0;
   bool HasCrashes = Task.Crashes != 0 || IncarnationMs != 0;
-  if (!Task.Checkpoint.empty() || HasCrashes)
-    Row.push_back(Task.Checkpoint);
+  std::string Checkpoint = WithCheckpoint ? Task.Checkpoint : "";
+  if (!Checkpoint.empty() || HasCrashes)
+    Row.push_back(std::move(Checkpoint));
   if (HasCrashes)
     Row.push_back(Task.Crashes);
   if (IncarnationMs != 0)
@@ -34,6 +43,40 @@
   return Row;
 }
 
+/// A run of tasks that are all 0 or all 1 is a pair of this number and the
+/// length of the run.
+void appendRun(Json &Tasks, int Value, size_t Length) {
+  if (Length >= MinPairLength) {
+    Tasks.push_back(Json::array({Value, Length}));
+    return;
+  }
+  for (size_t I = 0; I < Length; ++I)
+    Tasks.push_back(Value);
+}
+
+Json encodeTasks(const std::vector<TaskProgress> &Tasks, bool WithCheckpoints) {
+  Json Rows = Json::array();
+  int RunValue = 0;
+  size_t RunLength = 0;
+  for (const TaskProgress &Task : Tasks) {
+    Json Row = encodeTask(Task, WithCheckpoints);
+    if (Row.is_number() && Row == RunValue) {
+      ++RunLength;
+      continue;
+    }
+    appendRun(Rows, RunValue, RunLength);
+    RunLength = 0;
+    if (Row.is_number()) {
+      RunValue = Row;
+      RunLength = 1;
+    } else {
+      Rows.push_back(std::move(Row));
+    }
+  }
+  appendRun(Rows, RunValue, RunLength);
+  return Rows;
+}
+
 int32_t countIn(const Json &Value, const char *Name) {
   return static_cast<int32_t>(integerIn(Value, Name, 0, MaxRecordCount));
 }
@@ -58,32 +101,85 @@
         integerIn(Value.at(5), "incarnation", 0, MaxRecordNumber);
 }
 
+void restoreTasks(const Json &Rows, std::vector<TaskProgress> &Tasks) {
+  size_t Next = 0;
+  for (const Json &Row : Rows) {
+    bool IsPair = Row.is_array() && Row.size() == PairSize;
+    auto Length = static_cast<size_t>(
+        IsPair ? integerIn(Row.at(1), "tasks", 1, MaxRecordCount) : 1);
+    if (Length > Tasks.size() - Next)
+      throw Error("a step has more tasks than its job");
+    for (size_t I = 0; I < Length; ++I)
+      restoreTask(IsPair ? Row.at(0) : Row, Tasks[Next++]);
+  }
+  if (Next < Tasks.size())
+    throw Error("a step has fewer tasks than its job");
+}
+
+bool isUntouched(const OccurrenceProgress &Occurrence) {
+  for (const StepProgress &Step : Occurrence.Steps)
+    for (const TaskProgress &Task : Step.Tasks)
+      if (Task.Attempt > 0 || Task.Phase == TaskPhase::Done)
+        return false;
+  return true;
+}
+
 } // namespace
 
 JobProgress::JobProgress(JobSpec Given) : Spec(std::move(Given)) {
-  Occurrences.resize(static_cast<size_t>(Spec.occurrences()));
-  for (OccurrenceProgress &Occurrence : Occurrences) {
-    Occurrence.Steps.resize(Spec.Steps.size());
-    for (size_t I = 0; I < Spec.Steps.size(); ++I)
-      Occurrence.Steps[I].Tasks.resize(
-          static_cast<size_t>(Spec.Steps[I].Tasks));
-    recount(Occurrence);
+  if (Spec.Repetitions == 0)
+    open(0);
+}
+
+void JobProgress::open(int32_t Number) {
+  OccurrenceProgress &Occurrence = Occurrences[Number];
+  Occurrence.Steps.resize(Spec.Steps.size());
+  for (size_t I = 0; I < Spec.Steps.size(); ++I)
+    Occurrence.Steps[I].Tasks.resize(static_cast<size_t>(Spec.Steps[I].Tasks));
+  recount(Occurrence);
+  NextOccurrence = std::max(NextOccurrence, Number + 1);
+}
+
+void JobProgress::openDue(int64_t WallMs) {
+  size_t Tasks = Spec.tasksPerOccurrence();
+  while (NextOccurrence < Spec.occurrences() &&
+         WallMs >= dueMs(NextOccurrence) &&
+         Occurrences.size() * Tasks < MaxOpenTasks)
+    open(NextOccurrence);
+}
+
+std::vector<int32_t> JobProgress::closeEnded() {
+  std::vector<int32_t> Closed;
+  // The only run of a job is dropped with the job.
+  if (Spec.Repetitions == 0)
+    return Closed;
+  for (auto It = Occurrences.begin(); It != Occurrences.end();) {
+    bool HasEnded =
+        static_cast<size_t>(It->second.StepsDone) == Spec.Steps.size() &&
+        It->second.ReservedTasks == 0;
+    if (HasEnded)
+      Closed.push_back(It->first);
+    It = HasEnded ? Occurrences.erase(It) : std::next(It);
   }
+  return Closed;
 }
 
 TaskProgress *JobProgress::find(const TaskKey &Key) {
-  auto Occurrence = static_cast<size_t>(Key.Occurrence);
+  auto Occurrence = Occurrences.find(Key.Occurrence);
   auto Step = static_cast<size_t>(Key.Step);
   auto Index = static_cast<size_t>(Key.Index);
-  if (Occurrence >= Occurrences.size() || Step >= Spec.Steps.size() ||
-      Index >= Occurrences[Occurrence].Steps[Step].Tasks.size())
+  if (Occurrence == Occurrences.end() || Step >= Spec.Steps.size() ||
+      Index >= Occurrence->second.Steps[Step].Tasks.size())
     return nullptr;
-  return &Occurrences[Occurrence].Steps[Step].Tasks[Index];
+  return &Occurrence->second.Steps[Step].Tasks[Index];
 }
 
 StepProgress &JobProgress::stateOf(const TaskKey &Key) {
-  return Occurrences[static_cast<size_t>(Key.Occurrence)]
-      .Steps[static_cast<size_t>(Key.Step)];
+  return Occurrences.at(Key.Occurrence).Steps[static_cast<size_t>(Key.Step)];
+}
+
+const StepProgress &JobProgress::stateOf(const TaskKey &Key) const {
+  return Occurrences.at(Key.Occurrence).Steps[static_cast<size_t>(Key.Step)];
 }
 
 bool JobProgress::isReady(const OccurrenceProgress &Occurrence,
@@ -97,19 +193,18 @@
 }
 
 bool JobProgress::mayHaveStarted() const {
-  bool HasAssignment = false;
-  for (const OccurrenceProgress &Occurrence : Occurrences)
-    for (const StepProgress &Step : Occurrence.Steps)
-      for (const TaskProgress &Task : Step.Tasks)
-        HasAssignment |= Task.Attempt > 0;
-  return IsStarted || HasAssignment;
+  return IsStarted ||
+         std::any_of(Occurrences.begin(), Occurrences.end(),
+                     [](const auto &Row) { return !isUntouched(Row.second); });
 }
 
 bool JobProgress::allDone() const {
-  for (const OccurrenceProgress &Occurrence : Occurrences)
-    if (static_cast<size_t>(Occurrence.StepsDone) < Spec.Steps.size())
-      return false;
-  return true;
+  return NextOccurrence == Spec.occurrences() &&
+         std::all_of(Occurrences.begin(), Occurrences.end(),
+                     [this](const auto &Row) {
+                       return static_cast<size_t>(Row.second.StepsDone) ==
+                              Spec.Steps.size();
+                     });
 }
 
 void JobProgress::assign(StepProgress &Step, TaskProgress &Task,
@@ -150,15 +245,23 @@
 }
 
 std::string JobProgress::encode() const {
+  // The latest occurrences without an assigned task are opened again when they
+  // are due; the wall clock may have jumped forward and back.
+  auto End = Occurrences.end();
+  int32_t Next = NextOccurrence;
+  while (Spec.Repetitions > 0 && End != Occurrences.begin() &&
+         std::prev(End)->first == Next - 1 &&
+         isUntouched(std::prev(End)->second)) {
+    --End;
+    --Next;
+  }
+  Json Open = Json::array();
   Json Rows = Json::array();
-  for (const OccurrenceProgress &Occurrence : Occurrences) {
+  for (auto It = Occurrences.begin(); It != End; ++It) {
     Json Steps = Json::array();
-    for (const StepProgress &Step : Occurrence.Steps) {
-      Json Tasks = Json::array();
-      for (const TaskProgress &Task : Step.Tasks)
-        Tasks.push_back(encodeTask(Task));
-      Steps.push_back(std::move(Tasks));
-    }
+    for (const StepProgress &Step : It->second.Steps)
+      Steps.push_back(encodeTasks(Step.Tasks, StoresCheckpoints));
+    Open.push_back(It->first);
     Rows.push_back(std::move(Steps));
   }
   Json Document = {{"status", static_cast<int>(Status)}, {"version", Version}};
@@ -166,6 +269,10 @@
     Document["started"] = true;
   if (EndedMs != 0)
     Document["ended"] = EndedMs;
+  if (Spec.Repetitions > 0) {
+    Document["open"] = std::move(Open);
+    Document["next"] = Next;
+  }
   // An ended job needs its tasks too: a later owner stops those that still run.
   Document["tasks"] = std::move(Rows);
   return Document.dump();
@@ -184,12 +291,28 @@
     Version = integerField(Document, "version", 0, MaxRecordNumber);
     StoredVersion = Version;
     const Json &Rows = Document.at("tasks");
-    for (size_t K = 0; K < Occurrences.size(); ++K) {
+    bool HasOpen = Document.contains("open");
+    // Records of former versions list all occurrences.
+    NextOccurrence = static_cast<int32_t>(
+        HasOpen ? integerField(Document, "next", 0, Spec.occurrences())
+                : Spec.occurrences());
+    IsStarted |= HasOpen && NextOccurrence > static_cast<int64_t>(Rows.size());
+    Occurrences.clear();
+    for (size_t I = 0; I < Rows.size(); ++I) {
+      int64_t Number = HasOpen ? integerIn(Document.at("open").at(I), "open", 0,
+                                           NextOccurrence - 1)
+                               : static_cast<int64_t>(I);
+      if (Number >= NextOccurrence)
+        throw Error("has more occurrences than the job");
+      open(static_cast<int32_t>(Number));
+      OccurrenceProgress &Occurrence =
+          Occurrences[static_cast<int32_t>(Number)];
       for (size_t S = 0; S < Spec.Steps.size(); ++S)
-        for (size_t T = 0; T < Occurrences[K].Steps[S].Tasks.size(); ++T)
-          restoreTask(Rows.at(K).at(S).at(T), Occurrences[K].Steps[S].Tasks[T]);
-      recount(Occurrences[K]);
+        restoreTasks(Rows.at(I).at(S), Occurrence.Steps[S].Tasks);
+      recount(Occurrence);
     }
+    if (!HasOpen && Rows.size() < static_cast<size_t>(Spec.occurrences()))
+      throw Error("has fewer occurrences than the job");
   } catch (const Json::exception &Failure) {
     throw Error("cannot read state record " + Spec.Id.str() + ": " +
                 Failure.what());
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -192,8 +192,7 @@
 AdviceNeed Owner::adviceNeed(const JobProgress &Job, const StepKey &Key) const {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
   const StepProgress &State =
-      Job.Occurrences[static_cast<size_t>(Key.Occurrence)]
-          .Steps[static_cast<size_t>(Key.Step)];
+      Job.stateOf({Key.Job, Key.Occurrence, Key.Step, 0});
   const QueuePolicy &Policy = policyOf(Job);
   AdviceNeed Need;
   Need.Tasks = State.Waiting;
--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstring>
+
 /// A write can set only a few keys. While the store is slow, more records
 /// change than one write has keys for; those beyond it are stored together
 /// under one key, as a bundle. A bundle is removed once the store holds the
@@ -20,6 +23,8 @@
 /// Records of running jobs are soon outdated, so a lower limit would move many
 /// in vain.
 constexpr size_t MaxBundles = 64;
+/// A longer record gets a key of its own.
+constexpr size_t MaxBundledRecordBytes = 65536;
 /// Records that one write moves from such a bundle to a new one.
 constexpr size_t RecordsPerMove = 200;
 
@@ -31,17 +36,37 @@
   Json Records = Json::object();
   size_t Bytes = 0;
   while (Bytes < MaxBytes) {
-    const JobProgress *Job = takeNextChanged();
+    JobProgress *Job = takeNextChanged();
     if (Job == nullptr)
       break;
-    std::string Record = Job->encode();
+    std::optional<std::string> Encoded = encodeRecord(*Job);
+    if (!Encoded)
+      continue;
+    std::string &Record = *Encoded;
+    if (Record.size() > std::min(MaxBundledRecordBytes, maxBundleBytes())) {
+      returnToQueue(Job->Spec.Id);
+      break;
+    }
     Bytes += Record.size();
     Next.Bundled.emplace_back(Job->Spec.Id, Job->Version);
     Records[Job->Spec.Id.str()] = std::move(Record);
   }
+  if (Next.Bundled.empty())
+    Next.Bundle.clear();
   return Records.dump();
 }
 
+size_t Owner::maxBundleBytes() const {
+  // Quoted within the bundle a record may be twice as long, and the last one
+  // may exceed the limit by as much as the limit itself.
+  constexpr size_t MaxGrowth = 4;
+  return Options.MaxRecordBytes / (MaxGrowth + 1);
+}
+
+bool Owner::isBundleKey(const std::string &Key) {
+  return Key.compare(0, std::strlen(BundlePrefix), BundlePrefix) == 0;
+}
+
 void Owner::loadBundle(const std::string &Key, const std::string &Value) {
   try {
     std::vector<RecordVersion> Rows;
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -144,10 +144,11 @@
 void Owner::giveUp(const std::vector<TaskKey> &Tasks, bool IsProven) {
   for (const TaskKey &Key : Tasks) {
     JobProgress *Job = jobOf(Key.Job);
-    if (Job == nullptr || Job->isEnded() ||
-        Job->find(Key)->Phase == TaskPhase::Done)
+    // A repetition that has ended is not kept.
+    const TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Key);
+    if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done)
       continue;
-    if (Job->find(Key)->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes))
+    if (Task->Crashes >= (IsProven ? CrashesToGiveUp : MaxCrashes))
       endJob(*Job, JobPhase::Failed,
              "endpoints have crashed under task " + textOf(Key));
   }
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -116,7 +116,7 @@
 
 void Owner::loadRecord(StoreItem Item) {
   Log.count("records_loaded", 1);
-  if (startsWith(Item.Key, BundlePrefix))
+  if (isBundleKey(Item.Key))
     return loadBundle(Item.Key, Item.Value);
   JobId Id(Item.Key.substr(std::strlen(StatePrefix)));
   RecordsToRestore[Id].Separate = std::move(Item.Value);
@@ -197,10 +197,10 @@
 }
 
 void Owner::restoreAssignments(JobProgress &Job) {
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+  for (auto &[Number, Occurrence] : Job.Occurrences)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
-      for (size_t T = 0; T < Job.Occurrences[K].Steps[S].Tasks.size(); ++T) {
-        TaskProgress &Task = Job.Occurrences[K].Steps[S].Tasks[T];
+      for (size_t T = 0; T < Occurrence.Steps[S].Tasks.size(); ++T) {
+        TaskProgress &Task = Occurrence.Steps[S].Tasks[T];
         if (Task.Phase != TaskPhase::Assigned)
           continue;
         // A former owner may have sent the start request.
@@ -215,8 +215,8 @@
           Endpoint.RenewedAt = GainedAt + MaxConfirmationAgeToExtend;
         }
         reserveResources(Endpoint, Job,
-                         {Job.Spec.Id, static_cast<int32_t>(K),
-                          static_cast<int32_t>(S), static_cast<int32_t>(T)});
+                         {Job.Spec.Id, Number, static_cast<int32_t>(S),
+                          static_cast<int32_t>(T)});
       }
 }
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -74,7 +74,7 @@
   int64_t Wall = Clock.wallMillis();
   for (const JobId &Id : Open) {
     JobProgress &Job = *Jobs[Id];
-    if (Job.Spec.Repetitions > 0 && !Job.Occurrences.back().IsDue &&
+    if (Job.Spec.Repetitions > 0 && !Job.AreAllDue &&
         Wall >= Job.Spec.FirstStartMs)
       addReadySteps(Job);
   }
@@ -82,34 +82,49 @@
 
 void Owner::addReadySteps(JobProgress &Job) {
   int64_t Wall = Clock.wallMillis();
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K) {
-    OccurrenceProgress &Occurrence = Job.Occurrences[K];
-    int64_t Due =
-        Job.Spec.FirstStartMs + static_cast<int64_t>(K) * Job.Spec.IntervalMs;
-    Occurrence.IsDue = Job.Spec.Repetitions == 0 || Wall >= Due;
-    if (!Occurrence.IsDue)
+  closeEndedOccurrences(Job);
+  Job.openDue(Wall);
+  Job.AreAllDue = false;
+  for (auto &[Number, Occurrence] : Job.Occurrences) {
+    if (Job.Spec.Repetitions > 0 && Wall < Job.dueMs(Number))
       return;
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
       if (Occurrence.Steps[S].Waiting > 0 && Job.isReady(Occurrence, S))
-        Backlog.insert(
-            {Job.Spec.Id, static_cast<int32_t>(K), static_cast<int32_t>(S)});
+        Backlog.insert({Job.Spec.Id, Number, static_cast<int32_t>(S)});
   }
+  Job.AreAllDue = Job.NextOccurrence == Job.Spec.occurrences();
   requestSchedulingPass();
 }
 
+void Owner::closeEndedOccurrences(JobProgress &Job) {
+  for (int32_t Number : Job.closeEnded())
+    forgetSteps(Job, Number);
+}
+
+void Owner::forgetSteps(const JobProgress &Job, int32_t Occurrence) {
+  for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+    StepKey Key{Job.Spec.Id, Occurrence, static_cast<int32_t>(S)};
+    Backlog.erase(Key);
+    StepAdvices.erase(Key);
+  }
+}
+
 std::vector<BacklogStep> Owner::collectBacklog() {
   std::vector<BacklogStep> Result;
   TimePoint Now = Clock.now();
   for (auto It = Backlog.begin(); It != Backlog.end();) {
     JobProgress *Job = jobOf(It->Job);
-    bool IsWaiting = Job != nullptr && !Job->isEnded() &&
-                     Job->Occurrences[static_cast<size_t>(It->Occurrence)]
-                             .Steps[static_cast<size_t>(It->Step)]
-                             .Waiting > 0;
+    bool IsWaiting =
+        Job != nullptr && !Job->isEnded() &&
+        Job->stateOf({It->Job, It->Occurrence, It->Step, 0}).Waiting > 0;
     if (!IsWaiting) {
       It = Backlog.erase(It);
       continue;
     }
+    if (Job->SetAsideUntil > Now) {
+      ++It;
+      continue;
+    }
     BacklogStep Next{
         Job,           *It, policyOf(*Job).Priority, false, Job->IsOverRate,
         Job->Objective};
@@ -325,6 +340,7 @@
   if (!Endpoint.Tasks.insert(Key).second)
     return;
   ++Job.ReservedTasks;
+  ++Job.Occurrences.at(Key.Occurrence).ReservedTasks;
   Endpoint.Reserved += reservedResources(Step);
   Table.updateRoom(Endpoint);
   TeamUsage[Job.Spec.Team] += Step.Need;
@@ -342,6 +358,7 @@
   const StepSpec &Step = Job.stepOf(Key);
   TrackedEndpoint &Endpoint = Found->second;
   --Job.ReservedTasks;
+  --Job.Occurrences.at(Key.Occurrence).ReservedTasks;
   Endpoint.Reserved -= reservedResources(Step);
   Table.updateRoom(Endpoint);
   Table.noteGain(Endpoint);
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -73,9 +73,9 @@
   std::vector<TaskKey> Ready;
   std::vector<TaskKey> Postponed;
   std::vector<TaskKey> Released;
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+  for (auto &[Number, Occurrence] : Job.Occurrences)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
-      StepProgress &Step = Job.Occurrences[K].Steps[S];
+      StepProgress &Step = Occurrence.Steps[S];
       std::array<std::vector<TaskKey>, 3> OfStep;
       auto &[StepReady, StepPostponed, StepReleased] = OfStep;
       for (size_t T = 0; T < Step.Tasks.size(); ++T) {
@@ -83,8 +83,8 @@
         if (Task.Phase != TaskPhase::Assigned || Task.IsStartSent ||
             Task.AssignmentVersion > Job.StoredVersion)
           continue;
-        TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
-                    static_cast<int32_t>(S), static_cast<int32_t>(T)};
+        TaskKey Key{Job.Spec.Id, Number, static_cast<int32_t>(S),
+                    static_cast<int32_t>(T)};
         if (!MayStart || !maySendStart(Task, Service))
           StepReleased.push_back(Key);
         else if (mustPostpone(Key, Task))
@@ -248,12 +248,12 @@
 }
 
 void Owner::stopAllRuns(JobProgress &Job) {
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
+  for (auto &[Number, Occurrence] : Job.Occurrences)
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
-      for (size_t T = 0; T < Job.Occurrences[K].Steps[S].Tasks.size(); ++T) {
-        TaskProgress &Task = Job.Occurrences[K].Steps[S].Tasks[T];
-        TaskKey Key{Job.Spec.Id, static_cast<int32_t>(K),
-                    static_cast<int32_t>(S), static_cast<int32_t>(T)};
+      for (size_t T = 0; T < Occurrence.Steps[S].Tasks.size(); ++T) {
+        TaskProgress &Task = Occurrence.Steps[S].Tasks[T];
+        TaskKey Key{Job.Spec.Id, Number, static_cast<int32_t>(S),
+                    static_cast<int32_t>(T)};
         bool MayRun = Task.Phase == TaskPhase::Assigned ||
                       Task.Phase == TaskPhase::Running;
         if (MayRun && Task.IsStartSent)
@@ -304,7 +304,7 @@
 }
 
 void Owner::completeTask(JobProgress &Job, const TaskKey &Key, bool IsCurrent) {
-  auto &Occurrence = Job.Occurrences[static_cast<size_t>(Key.Occurrence)];
+  OccurrenceProgress &Occurrence = Job.Occurrences.at(Key.Occurrence);
   auto Step = static_cast<size_t>(Key.Step);
   // A gang is complete as soon as one of its tasks is.
   std::vector<TaskKey> Members{Key};
--- a/src/teaselwalk/cell/owner_store.cpp
+++ b/src/teaselwalk/cell/owner_store.cpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/cell/keys.hpp"
 #include "teaselwalk/cell/owner.hpp"
 
+#include <algorithm>
 #include <iterator>
 
 namespace teaselwalk::cell {
@@ -54,36 +55,69 @@
               }));
 }
 
-const JobProgress *Owner::takeNextChanged() {
+void Owner::requestNextWrite() {
+  if (!WriteQueue.empty() || !SeparateWrites.empty())
+    requestWrite();
+}
+
+JobProgress *Owner::takeNextChanged() {
   while (!WriteQueue.empty()) {
     JobId Id = std::move(WriteQueue.front());
     WriteQueue.pop_front();
     InWriteQueue.erase(Id);
-    if (const JobProgress *Job = jobOf(Id))
+    JobProgress *Job = jobOf(Id);
+    if (Job != nullptr && Job->IsRecordRejected)
+      queueSeparateWrite(Id);
+    else if (Job != nullptr)
       return Job;
   }
   return nullptr;
 }
 
+void Owner::returnToQueue(const JobId &Id) {
+  if (InWriteQueue.insert(Id).second)
+    WriteQueue.push_front(Id);
+}
+
+std::optional<std::string> Owner::encodeRecord(JobProgress &Job) {
+  std::string Record = Job.encode();
+  if (Record.size() > Options.MaxRecordBytes) {
+    setAside(Job, Record.size());
+    return std::nullopt;
+  }
+  return Record;
+}
+
 void Owner::writeChanged() {
-  if (Writer.isBusy() || WriteQueue.empty())
+  if (Writer.isBusy())
+    return;
+  if (!SeparateWrites.empty())
+    return writeSeparately();
+  if (WriteQueue.empty())
     return;
   limitBundles();
   StoreTransaction Change;
   StoreWrite Next;
   size_t Bytes = 0;
   while (Change.Puts.size() < RecordsPerWrite && Bytes < MaxWriteBytes) {
-    const JobProgress *Job = takeNextChanged();
+    JobProgress *Job = takeNextChanged();
     if (Job == nullptr)
       break;
-    Change.Puts.push_back({stateKey(Job->Spec.Id), Job->encode(), 0});
+    std::optional<std::string> Record = encodeRecord(*Job);
+    if (!Record)
+      continue;
+    Change.Puts.push_back({stateKey(Job->Spec.Id), std::move(*Record), 0});
     Bytes += Change.Puts.back().Value.size();
     Next.Separate.emplace_back(Job->Spec.Id, Job->Version);
   }
   if (!WriteQueue.empty() && Bytes < MaxWriteBytes) {
-    std::string Value = encodeBundle(Next, MaxWriteBytes - Bytes);
-    Change.Puts.push_back({Next.Bundle, std::move(Value), 0});
+    std::string Value =
+        encodeBundle(Next, std::min(MaxWriteBytes - Bytes, maxBundleBytes()));
+    if (!Next.Bundle.empty())
+      Change.Puts.push_back({Next.Bundle, std::move(Value), 0});
   }
+  if (Change.Puts.empty())
+    return;
   // Removals use what is left, so they cost no writes and delay none.
   addBundleRemovals(Change, FencedWriter::Capacity);
   addRemovals(Change, Next);
@@ -94,9 +128,15 @@
 }
 
 void Owner::commitWrite(StoreTransaction Change, StoreWrite Next) {
-  auto Done = [this, Next = std::move(Next)](bool IsDone) {
-    if (!IsDone)
+  Next.RemovedBundles.clear();
+  for (const std::string &Key : Change.Removes)
+    if (isBundleKey(Key))
+      Next.RemovedBundles.push_back(Key);
+  auto Done = [this, Next = std::move(Next)](WriteOutcome Outcome) {
+    if (Outcome == WriteOutcome::OwnershipLost)
       return Hooks.OwnershipLost("the epoch record names another owner");
+    if (Outcome == WriteOutcome::Rejected)
+      return onRejected(Next);
     onWritten(Next);
   };
   Writer.commit(std::move(Change), guarded(std::move(Done)));
@@ -108,6 +148,7 @@
     if (Job == nullptr)
       return;
     Job->StoredVersion = Row.second;
+    Job->IsRecordRejected = false;
     if (Row.second == Job->Version)
       Job->StoredStatus = Job->Status;
     sendAssignedStarts(*Job);
@@ -129,8 +170,7 @@
     It = IsDone ? WithUnacknowledgedEnds.erase(It) : std::next(It);
   }
   dropRemoved(Stored.Removed);
-  if (!WriteQueue.empty())
-    requestWrite();
+  requestNextWrite();
 }
 
 bool Owner::acknowledgeStoredEnds(TrackedEndpoint &Endpoint) {
@@ -152,13 +192,8 @@
   Job.EndedMs = Clock.wallMillis();
   Open.remove(Job);
   ToRemove.emplace(Job.EndedMs, Job.Spec.Id);
-  for (size_t K = 0; K < Job.Occurrences.size(); ++K)
-    for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
-      StepKey Key{Job.Spec.Id, static_cast<int32_t>(K),
-                  static_cast<int32_t>(S)};
-      Backlog.erase(Key);
-      StepAdvices.erase(Key);
-    }
+  for (const auto &[Number, Occurrence] : Job.Occurrences)
+    forgetSteps(Job, Number);
   Log.event(
       EventName::JobFinished,
       {{"job", Job.Spec.Id.str()},
--- a/src/teaselwalk/cell/request_handler.cpp
+++ b/src/teaselwalk/cell/request_handler.cpp
@@ -135,6 +135,7 @@
 
 void RequestHandler::submit(const ContextPtr &Call, const std::string &Body) {
   JobSpec Job;
+  std::string Record;
   if (static_cast<int64_t>(Body.size()) >
       Hooks.Desired->Config.Limits.MaxBodyBytes)
     return finish(Call, {RequestOutcome::Malformed, "the body is too large"});
@@ -146,10 +147,19 @@
     Job.Policy = Call->Policy;
     Job.AcceptedMs = Clock.wallMillis();
     validate(Job);
+    if (Job.tasksPerOccurrence() > MaxTasksPerOccurrence)
+      throw Error("the steps have " + std::to_string(Job.tasksPerOccurrence()) +
+                  " tasks, at most " + std::to_string(MaxTasksPerOccurrence) +
+                  " are allowed");
+    Record = encodeJob(Job);
+    if (Record.size() > Hooks.MaxRecordBytes)
+      throw Error("the record of the job has " + std::to_string(Record.size()) +
+                  " bytes, the store takes at most " +
+                  std::to_string(Hooks.MaxRecordBytes));
   } catch (const std::exception &Failure) {
     return finish(Call, {RequestOutcome::Malformed, Failure.what()});
   }
-  storeJob(Call, encodeJob(Job));
+  storeJob(Call, Record);
 }
 
 void RequestHandler::storeJob(const ContextPtr &Call,
@@ -212,6 +222,10 @@
     }
     return answerUncertain(
         Call, "the store reported a conflict without the conflicting record");
+  case StoreOutcome::Invalid:
+    // No attempt can have taken effect, and none ever will.
+    return finish(Call, {RequestOutcome::Malformed,
+                         "the store rejects the record as invalid"});
   default:
     break;
   }
--- a/src/teaselwalk/cell/scheduler_core.cpp
+++ b/src/teaselwalk/cell/scheduler_core.cpp
@@ -59,7 +59,7 @@
               Options.KeyRevocation,
               {&Desired, [this] { return OperatorMirror.confirmedAt(); },
                [this] { return Registration.storeReachedAt(); },
-               Options.DecodeSubmission}),
+               Options.DecodeSubmission, Options.Owner.MaxRecordBytes}),
       YieldAfter(FirstYieldDelay) {}
 
 void SchedulerCore::start() {
--- a/src/teaselwalk/cell/takeover_load_test.cpp
+++ b/src/teaselwalk/cell/takeover_load_test.cpp
@@ -41,7 +41,7 @@
     Job.Policy = World.Config.Queues.front().Policy;
     Job.AcceptedMs = World.Clock.wallMillis();
     JobProgress Progress(Job);
-    for (OccurrenceProgress &Occurrence : Progress.Occurrences)
+    for (auto &[Number, Occurrence] : Progress.Occurrences)
       for (size_t S = 0; S < Job.Steps.size(); ++S)
         for (TaskProgress &Task : Occurrence.Steps[S].Tasks)
           Progress.complete(Occurrence, S, Task);
--- a/src/teaselwalk/cell/testing/fake_cluster.hpp
+++ b/src/teaselwalk/cell/testing/fake_cluster.hpp
@@ -141,10 +141,10 @@
   }
 
   /// True if a run of each task of \p Step of \p Job has ended as `Done`.
-  bool isDone(const JobId &Job, int32_t Step) const {
+  bool isDone(const JobId &Job, int32_t Step, int32_t Occurrence = 0) const {
     const JobSpec &Spec = Jobs.at(Job);
     for (int32_t T = 0; T < Spec.Steps[static_cast<size_t>(Step)].Tasks; ++T)
-      if (DoneTasks.count({Job, 0, Step, T}) == 0)
+      if (DoneTasks.count({Job, Occurrence, Step, T}) == 0)
         return false;
     return true;
   }
@@ -224,7 +224,7 @@
     for (const EndId &End : DoneEnds[Request.Task])
       RestartedAfterDone.insert(End);
     for (int32_t Earlier : Step.After)
-      if (!isDone(Request.Task.Job, Earlier))
+      if (!isDone(Request.Task.Job, Earlier, Request.Task.Occurrence))
         violate("start before the end of an earlier step:", Request.Task);
     Run Value;
     Value.Attempt = Request.Attempt;
@@ -232,9 +232,11 @@
     Value.Serial = ++NextSerial;
     Value.StartedAt = Clock.now();
     Value.IsUnfenced = IsUnfenced;
-    M.Running[Request.Task] = Value;
     auto Found = Work.find(Request.Task);
     const FakeWork &Plan = Found == Work.end() ? DefaultWork : Found->second;
+    if (!Plan.Checkpoint.empty())
+      Value.Checkpoint = Plan.Checkpoint;
+    M.Running[Request.Task] = Value;
     if (Plan.CrashesEndpoint) {
       if (OnDeadlyStart)
         OnDeadlyStart();
--- a/src/teaselwalk/cell/testing/fake_machine.hpp
+++ b/src/teaselwalk/cell/testing/fake_machine.hpp
@@ -16,6 +16,7 @@
   int FailFirst = 0;             ///< Number of runs that fail at their end.
   bool RunsUntilStopped = false; ///< Runs until it is stopped.
   bool CrashesEndpoint = false;  ///< Its start crashes the endpoint.
+  std::string Checkpoint;        ///< Reported from its start; empty: none.
 };
 
 /// A run on an endpoint.
--- a/src/teaselwalk/cell/testing/simulated_store.hpp
+++ b/src/teaselwalk/cell/testing/simulated_store.hpp
@@ -23,6 +23,9 @@
     int64_t Lease = 0;
   };
 
+  size_t MaxValueBytes = 1048576;
+  int RejectedWrites = 0; ///< Writes that were answered with `Invalid`.
+
   CommitResult commit(const StoreTransaction &Change) {
     expire();
     CommitResult Result;
@@ -41,8 +44,13 @@
     }
     size_t Entries =
         Change.Conditions.size() + Change.Puts.size() + Change.Removes.size();
-    if (Entries > MaxTransactionEntries) {
+    bool IsTooLarge = std::any_of(Change.Puts.begin(), Change.Puts.end(),
+                                  [this](const StorePut &Put) {
+                                    return Put.Value.size() > MaxValueBytes;
+                                  });
+    if (Entries > MaxTransactionEntries || IsTooLarge) {
       Result.Outcome = StoreOutcome::Invalid;
+      ++RejectedWrites;
       return Result;
     }
     for (const StorePut &Put : Change.Puts)
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -180,6 +180,8 @@
         Duration(static_cast<int64_t>(Entropy() % MaxClaimDelayMs));
     Options.KeyRevocation = Settings.Limits.KeyRevocation;
     Options.Owner.MaxTaskLease = Settings.Limits.MaxTaskLease;
+    Options.Owner.MaxRecordBytes =
+        static_cast<size_t>(Settings.MaxStoreValueBytes);
     Options.Owner.StatusKept = Settings.Limits.StatusKept;
     Options.Owner.EndpointPrefix = adapter::EndpointPrefix;
     Options.Owner.DecodeEndpoint = adapter::decodeEndpoint;
