cell: a cancellation holds against a write that is still under way

Cause: the cancellation of a job that is not stored left nothing in the store, so the condition of the late write, that the key is new, still held. "Not there" was taken for "never will be".

Change: such a cancellation writes its mark on condition that the job is not there, and a submission is stored only where there is no mark. A conflict shows a job that was stored meanwhile, which is then cancelled as usual. The owner removes marks without a job after the time for which a status is kept.

Evidence: the four new tests of RequestHandlerTest failed on the code before.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -124,6 +124,8 @@
   /// Adds removals of the records of ended jobs that are no longer kept, as far
   /// as the write has entries left.
   void addRemovals(StoreTransaction &Change, StoreWrite &Next);
+  /// Adds removals of the marks of jobs that were cancelled but never stored.
+  void addCancellationRemovals(StoreTransaction &Change);
   /// Removes records in a write of its own if nothing else is to be written.
   void removeEndedJobs();
   void dropRemoved(const std::vector<JobId> &Removed);
@@ -382,8 +384,8 @@
   /// are loaded.
   std::unordered_map<JobId, StoredRecords> RecordsToRestore;
   BundleTable Bundles;
-  /// Jobs whose cancellation was read before the job itself.
-  std::unordered_set<JobId> EarlyCancellations;
+  /// Jobs that are not stored and whose cancellation was read, and when.
+  std::unordered_map<JobId, TimePoint> EarlyCancellations;
   OpenJobs Open;
   /// Steps that may start and have waiting tasks. Others are dropped by
   /// `collectBacklog`.
--- a/include/teaselwalk/cell/ports.hpp
+++ b/include/teaselwalk/cell/ports.hpp
@@ -101,6 +101,14 @@
   int64_t Revision = 0; ///< On Done: revision of the written items.
   /// On Conflict: current items of the keys that the conditions name.
   std::vector<StoreItem> Items;
+
+  /// The item \p Key of a conflict; null if it does not exist.
+  const StoreItem *itemOf(const std::string &Key) const {
+    for (const StoreItem &Item : Items)
+      if (Item.Key == Key && Item.Revision != 0)
+        return &Item;
+    return nullptr;
+  }
 };
 
 struct LeaseResult {
--- a/include/teaselwalk/cell/request_handler.hpp
+++ b/include/teaselwalk/cell/request_handler.hpp
@@ -73,6 +73,7 @@
   void submit(const ContextPtr &Call, const std::string &Body);
   void storeJob(const ContextPtr &Call, const std::string &Record);
   void onStored(const ContextPtr &Call, const CommitResult &Result);
+  void onStoreConflict(const ContextPtr &Call, const CommitResult &Result);
   /// Commits \p Change, which must be idempotent, and retries until it is
   /// certain whether it took effect or the request's store deadline has passed.
   void commit(const ContextPtr &Call, const StoreTransaction &Change,
@@ -80,6 +81,11 @@
   void status(const ContextPtr &Call);
   void statusFromStore(const ContextPtr &Call);
   void cancel(const ContextPtr &Call);
+  /// Cancels the job if the caller may access it. \p Item is its record.
+  void cancelStored(const ContextPtr &Call, const StoreItem &Item);
+  /// Marks a job that is not stored as cancelled: a write of its record may
+  /// still be under way and take effect after this request is answered.
+  void preventJob(const ContextPtr &Call);
   void markCancelled(const ContextPtr &Call, int64_t JobRevision);
   void pending(const ContextPtr &Call);
   void finish(const ContextPtr &Call, CallerAnswer Answer) const;
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -134,12 +134,15 @@
 }
 
 void Owner::onIntakeItem(const StoreItem &Item) {
-  if (Item.Deleted)
-    return;
-  if (startsWith(Item.Key, JobPrefix))
+  if (startsWith(Item.Key, CancelPrefix)) {
+    JobId Id(Item.Key.substr(std::strlen(CancelPrefix)));
+    if (Item.Deleted)
+      EarlyCancellations.erase(Id);
+    else
+      cancelJob(Id);
+  } else if (!Item.Deleted && startsWith(Item.Key, JobPrefix)) {
     addJob(JobId(Item.Key.substr(std::strlen(JobPrefix))), Item.Value);
-  else if (startsWith(Item.Key, CancelPrefix))
-    cancelJob(JobId(Item.Key.substr(std::strlen(CancelPrefix))));
+  }
 }
 
 void Owner::addJob(const JobId &Id, const std::string &Text) {
@@ -223,7 +226,7 @@
 void Owner::cancelJob(const JobId &Id) {
   JobProgress *Job = jobOf(Id);
   if (Job == nullptr) {
-    EarlyCancellations.insert(Id);
+    EarlyCancellations.emplace(Id, Clock.now());
     return;
   }
   if (Job->isEnded())
@@ -325,13 +328,24 @@
   }
 }
 
+void Owner::addCancellationRemovals(StoreTransaction &Change) {
+  TimePoint Latest = Clock.now() - Options.StatusKept;
+  for (const auto &[Id, ReadAt] : EarlyCancellations) {
+    if (Change.Puts.size() + Change.Removes.size() >= FencedWriter::Capacity)
+      return;
+    if (ReadAt < Latest)
+      Change.Removes.push_back(cancelKey(Id));
+  }
+}
+
 void Owner::removeEndedJobs() {
   if (Writer.isBusy() || !WriteQueue.empty())
     return;
   StoreTransaction Change;
   StoreWrite Next;
   addRemovals(Change, Next);
-  if (!Next.Removed.empty())
+  addCancellationRemovals(Change);
+  if (!Change.Removes.empty())
     commitWrite(std::move(Change), std::move(Next));
 }
 
--- a/src/teaselwalk/cell/request_handler.cpp
+++ b/src/teaselwalk/cell/request_handler.cpp
@@ -165,7 +165,9 @@
 void RequestHandler::storeJob(const ContextPtr &Call,
                               const std::string &Record) {
   StoreTransaction Change;
-  Change.Conditions = {{jobKey(Call->Id), 0}};
+  // A mark of a cancellation keeps out attempts that the store carries out
+  // after the cancellation was acknowledged.
+  Change.Conditions = {{jobKey(Call->Id), 0}, {cancelKey(Call->Id), 0}};
   Change.Puts = {{jobKey(Call->Id), Record, 0}};
   commit(Call, Change,
          [this, Call](const CommitResult &Result) { onStored(Call, Result); });
@@ -207,21 +209,7 @@
   case StoreOutcome::Unknown:
     return answerUncertain(Call, "the store did not answer");
   case StoreOutcome::Conflict:
-    for (const StoreItem &Item : Result.Items) {
-      if (Item.Revision == 0)
-        continue;
-      try {
-        JobSpec Stored = decodeJob(Call->Id, Item.Value);
-        if (mayAccess(*Call, Stored.Queue, Stored.Team))
-          return finish(Call, {RequestOutcome::Done, "already stored"});
-      } catch (const Error &Failure) {
-        Log.event(EventName::RecordMalformed,
-                  {{"job", Call->Id.str()}, {"reason", Failure.what()}});
-      }
-      return finish(Call, {RequestOutcome::Malformed, "the job id is in use"});
-    }
-    return answerUncertain(
-        Call, "the store reported a conflict without the conflicting record");
+    return onStoreConflict(Call, Result);
   case StoreOutcome::Invalid:
     // No attempt can have taken effect, and none ever will.
     return finish(Call, {RequestOutcome::Malformed,
@@ -234,6 +222,26 @@
   refuse(Call, "the store refused the write");
 }
 
+void RequestHandler::onStoreConflict(const ContextPtr &Call,
+                                     const CommitResult &Result) {
+  if (const StoreItem *Item = Result.itemOf(jobKey(Call->Id))) {
+    try {
+      JobSpec Stored = decodeJob(Call->Id, Item->Value);
+      if (mayAccess(*Call, Stored.Queue, Stored.Team))
+        return finish(Call, {RequestOutcome::Done, "already stored"});
+    } catch (const Error &Failure) {
+      Log.event(EventName::RecordMalformed,
+                {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+    }
+    return finish(Call, {RequestOutcome::Malformed, "the job id is in use"});
+  }
+  if (Result.itemOf(cancelKey(Call->Id)) != nullptr)
+    return finish(Call, {RequestOutcome::NoJob,
+                         "the job was cancelled before it was stored"});
+  answerUncertain(
+      Call, "the store reported a conflict without the conflicting record");
+}
+
 void RequestHandler::status(const ContextPtr &Call) {
   Queries.job(Call->Id, [this, Call](const JobQueryResult &Found) {
     // The owner may not have loaded a new job yet.
@@ -292,24 +300,43 @@
 }
 
 void RequestHandler::cancel(const ContextPtr &Call) {
-  Storage.read(
-      jobKey(Call->Id), ReadTimeout, [this, Call](const StoreItems &R) {
-        if (R.Outcome == StoreOutcome::NotFound)
-          return finish(Call, {RequestOutcome::NoJob, "no such job"});
-        if (R.Outcome != StoreOutcome::Done)
-          return answerUncertain(Call, "the store did not answer");
-        try {
-          JobSpec Job = decodeJob(Call->Id, R.Items.front().Value);
-          if (!mayAccess(*Call, Job.Queue, Job.Team))
-            return finish(Call,
-                          {RequestOutcome::NoJob, "no such job in this queue"});
-        } catch (const Error &Failure) {
-          Log.event(EventName::RecordMalformed,
-                    {{"job", Call->Id.str()}, {"reason", Failure.what()}});
-          return answerUncertain(Call, "the record cannot be read");
-        }
-        markCancelled(Call, R.Items.front().Revision);
-      });
+  Storage.read(jobKey(Call->Id), ReadTimeout,
+               [this, Call](const StoreItems &R) {
+                 if (R.Outcome == StoreOutcome::NotFound)
+                   return preventJob(Call);
+                 if (R.Outcome != StoreOutcome::Done)
+                   return answerUncertain(Call, "the store did not answer");
+                 cancelStored(Call, R.Items.front());
+               });
+}
+
+void RequestHandler::cancelStored(const ContextPtr &Call,
+                                  const StoreItem &Item) {
+  try {
+    JobSpec Job = decodeJob(Call->Id, Item.Value);
+    if (!mayAccess(*Call, Job.Queue, Job.Team))
+      return finish(Call, {RequestOutcome::NoJob, "no such job in this queue"});
+  } catch (const Error &Failure) {
+    Log.event(EventName::RecordMalformed,
+              {{"job", Call->Id.str()}, {"reason", Failure.what()}});
+    return answerUncertain(Call, "the record cannot be read");
+  }
+  markCancelled(Call, Item.Revision);
+}
+
+void RequestHandler::preventJob(const ContextPtr &Call) {
+  StoreTransaction Change;
+  Change.Conditions = {{jobKey(Call->Id), 0}};
+  Change.Puts = {{cancelKey(Call->Id), "{}", 0}};
+  commit(Call, Change, [this, Call](const CommitResult &Result) {
+    if (Result.Outcome == StoreOutcome::Done)
+      return finish(Call, {RequestOutcome::NoJob, "no such job"});
+    // The job was stored meanwhile.
+    const StoreItem *Item = Result.itemOf(jobKey(Call->Id));
+    if (Result.Outcome == StoreOutcome::Conflict && Item != nullptr)
+      return cancelStored(Call, *Item);
+    answerUncertain(Call, "the store did not answer");
+  });
 }
 
 void RequestHandler::markCancelled(const ContextPtr &Call,
--- a/src/teaselwalk/cell/request_handler_test.cpp
+++ b/src/teaselwalk/cell/request_handler_test.cpp
@@ -10,6 +10,7 @@
 class RequestHandlerTest : public ::testing::Test {
 protected:
   RequestHandlerTest() {
+    World.StatusKept = Duration(120000);
     World.addEndpoints(2);
     World.addProcesses(2);
     World.Clock.runFor(Duration(1500));
@@ -101,6 +102,64 @@
   EXPECT_FALSE(World.Store.has(jobKey(Job.Id)));
 }
 
+// Guards against a job that runs although its cancellation was acknowledged
+// with "no such job": a write of its record was still under way.
+TEST_F(RequestHandlerTest, ALateWriteDoesNotUndoACancellation) {
+  constexpr int AllAttempts = 100;
+  World.Processes[0]->Store.DelayWrites = AllAttempts;
+  World.Processes[0]->Store.WriteDelay = Duration(9000);
+  EXPECT_EQ(answerTo(CallerAction::Submit), RequestOutcome::Uncertain);
+  World.Processes[0]->Store.DelayWrites = 0;
+  EXPECT_EQ(answerTo(CallerAction::Cancel, 1), RequestOutcome::NoJob);
+  World.Clock.runFor(Duration(12000));
+  EXPECT_EQ(World.Cluster.Starts, 0);
+  EXPECT_FALSE(World.Store.has(jobKey(Job.Id)));
+  // The caller's repeated submission arrives after its cancellation.
+  EXPECT_EQ(answerTo(CallerAction::Submit, 1), RequestOutcome::NoJob);
+  EXPECT_EQ(answerTo(CallerAction::Status, 1), RequestOutcome::NoJob);
+  EXPECT_EQ(World.Cluster.Starts, 0);
+}
+
+// Guards against a cancellation that is lost because the job is stored between
+// the look-up and the mark of the cancellation.
+TEST_F(RequestHandlerTest, CancelsAJobThatIsStoredMeanwhile) {
+  World.Cluster.DefaultWork.Length = Duration(8000);
+  World.Processes[1]->Store.Latency = Duration(60);
+  auto Cancelled = World.send(1, CallerAction::Cancel, Job);
+  World.Clock.runFor(Duration(100));
+  EXPECT_EQ(answerTo(CallerAction::Submit), RequestOutcome::Done);
+  ASSERT_EQ(Cancelled->size(), 1U);
+  EXPECT_EQ(Cancelled->front().Kind, RequestOutcome::Done);
+  EXPECT_EQ(World.status(0, Job).State, JobPhase::Cancelled);
+}
+
+// Guards against marks of cancellations that stay in the store for ever, and
+// against one that is removed while a late write may still take effect.
+TEST_F(RequestHandlerTest, MarksOfUnknownJobsAreRemovedAfterAWhile) {
+  EXPECT_EQ(answerTo(CallerAction::Cancel), RequestOutcome::NoJob);
+  World.Clock.runFor(World.StatusKept - Duration(10000));
+  EXPECT_TRUE(World.Store.has(cancelKey(Job.Id)));
+  World.Clock.runFor(Duration(20000));
+  EXPECT_FALSE(World.Store.has(cancelKey(Job.Id)));
+  EXPECT_EQ(answerTo(CallerAction::Submit), RequestOutcome::Done);
+}
+
+// Guards against a job that a new owner starts because it does not know of the
+// cancellation: a process of a former version stores its record without regard
+// to the mark.
+TEST_F(RequestHandlerTest, ANewOwnerKnowsCancellationsOfUnknownJobs) {
+  EXPECT_EQ(answerTo(CallerAction::Cancel), RequestOutcome::NoJob);
+  JobSpec Stored = Job;
+  Stored.Queue = "batch";
+  Stored.Team = "team";
+  Stored.Policy = World.Config.Queues.front().Policy;
+  Stored.AcceptedMs = World.Clock.wallMillis();
+  World.kill(World.ownerIndex());
+  World.Store.put(jobKey(Job.Id), encodeJob(Stored));
+  World.Clock.runFor(Duration(9000));
+  EXPECT_EQ(World.Cluster.Starts, 0);
+}
+
 // Guards against answering for a job that nobody submitted.
 TEST_F(RequestHandlerTest, ReportsUnknownJobs) {
   EXPECT_EQ(answerTo(CallerAction::Status), RequestOutcome::NoJob);
