http, node: what is read while a process stops is answered

Cause: the thread of the server ended once its only sessions were those whose requests were with the handler, as these have no operation open in the context. And the drain ended as soon as nothing was pending, while requests could still arrive on open connections. Nothing open was taken for nothing owed.

Change: the server runs until it is stopped; a drain ends when all connections are closed, the idle ones 0.5 s after answers have begun to close theirs. The last reference to a session is dropped on the server's thread. Open: the drain of serve does not close its connections.

--- a/include/teaselwalk/http/server.hpp
+++ b/include/teaselwalk/http/server.hpp
@@ -68,9 +68,16 @@
   /// response carries `Connection: close`.
   void stopAccepting();
 
+  /// Closes the connections on which no request has begun to arrive. To be
+  /// called after `stopAccepting`, so that `connections()` becomes 0.
+  void closeIdle();
+
   /// Requests received and not yet answered.
   size_t pending() const;
 
+  /// Connections that are not closed yet.
+  size_t connections() const;
+
   /// Ends `run()`. Thread-safe.
   void stop();
 
--- a/src/teaselwalk/http/server.cpp
+++ b/src/teaselwalk/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/error.hpp"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace teaselwalk::http {
 namespace {
@@ -33,6 +35,7 @@
   std::unordered_set<Responder::Impl *> Sessions; ///< Only on run()'s thread.
   std::atomic<bool> Stopped{false};
   std::atomic<size_t> Pending{0};
+  std::atomic<size_t> Open{0}; ///< Connections that are not closed yet.
   std::atomic<bool> Draining{false};
 };
 
@@ -44,13 +47,18 @@
   Impl(std::shared_ptr<Shared> Owner, Tcp::socket Socket)
       : Owner(std::move(Owner)), Stream(std::move(Socket)) {
     this->Owner->Sessions.insert(this);
+    ++this->Owner->Open;
   }
 
-  ~Impl() { Owner->Sessions.erase(this); }
+  ~Impl() {
+    markClosed();
+    Owner->Sessions.erase(this);
+  }
   Impl(const Impl &) = delete;
   Impl &operator=(const Impl &) = delete;
 
   void readNext(bool First) {
+    IsReading = true;
     Parser.emplace();
     Parser->body_limit(Owner->Options.MaxBodyBytes);
     Parser->header_limit(
@@ -79,13 +87,33 @@
     });
   }
 
+  /// Drops a reference on the thread of the server, on which the connection
+  /// must be destroyed.
+  static void release(std::shared_ptr<Impl> Connection) {
+    std::shared_ptr<Shared> Owner = Connection->Owner;
+    if (!Owner->Stopped)
+      asio::post(Owner->Context, [Held = std::move(Connection)] {});
+  }
+
   void close() {
     error_code Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.close();
+    markClosed();
+  }
+
+  /// Closes the connection if nothing of a request has been read.
+  void closeIfIdle() {
+    if (IsReading && Buffer.size() == 0 && !Parser->got_some())
+      close();
   }
 
 private:
+  void markClosed() {
+    if (!std::exchange(IsClosed, true))
+      --Owner->Open;
+  }
+
   void readMessage() {
     Stream.expires_after(Owner->Options.ReadTimeout);
     bhttp::async_read(Stream, Buffer, *Parser,
@@ -113,6 +141,7 @@
   }
 
   void dispatch() {
+    IsReading = false;
     auto Message = Parser->release();
     KeepAlive = Message.keep_alive();
     Request Incoming;
@@ -135,6 +164,7 @@
 
   /// Answers a message that cannot be read to its end and closes.
   void refuse(int Status, const std::string &Field, const std::string &Why) {
+    IsReading = false;
     KeepAlive = false;
     ++Owner->Pending;
     write({Status, R"({"verdict":"not_run","error":")" + Why +
@@ -170,6 +200,8 @@
   beast::flat_buffer Buffer;
   std::optional<bhttp::request_parser<bhttp::string_body>> Parser;
   bool KeepAlive = false;
+  bool IsReading = false; ///< Waits for a request, or for the rest of one.
+  bool IsClosed = false;
 };
 
 /// Answers 500 when the last copy of a responder goes without a response.
@@ -177,7 +209,10 @@
 public:
   explicit Once(std::shared_ptr<Impl> Connection)
       : Connection(std::move(Connection)) {}
-  ~Once() { send({500, R"({"error":"no answer was produced"})"}); }
+  ~Once() {
+    send({500, R"({"error":"no answer was produced"})"});
+    Impl::release(std::move(Connection));
+  }
   Once(const Once &) = delete;
   Once &operator=(const Once &) = delete;
 
@@ -268,6 +303,9 @@
 }
 
 void Server::run() {
+  // A session whose request is with the handler has no operation open in the
+  // context, which would run out of work once the acceptor is closed.
+  auto Guard = asio::make_work_guard(State->Common->Context);
   State->accept();
   State->Common->Context.run();
 }
@@ -280,8 +318,20 @@
   });
 }
 
+void Server::closeIdle() {
+  asio::post(State->Common->Context, [Held = State] {
+    // A session may be destroyed when it is closed.
+    std::vector<Responder::Impl *> All(Held->Common->Sessions.begin(),
+                                       Held->Common->Sessions.end());
+    for (Responder::Impl *Session : All)
+      Session->closeIfIdle();
+  });
+}
+
 size_t Server::pending() const { return State->Common->Pending; }
 
+size_t Server::connections() const { return State->Common->Open; }
+
 void Server::stop() { State->Common->Context.stop(); }
 
 } // namespace teaselwalk::http
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -33,6 +33,9 @@
 /// not ready: after two failed readiness probes, which it sends once a second.
 constexpr Duration UnreadyNoticeTime{2300};
 constexpr Duration DrainPollInterval{20};
+/// Idle connections are closed this long after the first answers that close
+/// theirs, so that few clients find a connection closed that they have used.
+constexpr Duration IdleCloseDelay{500};
 /// Wait before the sockets are closed, so that the last answers reach their
 /// clients.
 constexpr Duration FlushDelay{250};
@@ -146,8 +149,16 @@
     Core.post([this] { Scheduler.stop(); }, Lane::Control);
     std::this_thread::sleep_for(std::min(UnreadyNoticeTime, Limit));
     CallerServer.stopAccepting();
-    while (CallerServer.pending() > 0 && std::chrono::steady_clock::now() < End)
+    // Requests still arrive on open connections. Only when all connections are
+    // closed can no request be read whose answer would be lost by the exit.
+    auto CloseIdleAt = std::chrono::steady_clock::now() + IdleCloseDelay;
+    for (auto Now = std::chrono::steady_clock::now();
+         CallerServer.connections() > 0 && Now < End;
+         Now = std::chrono::steady_clock::now()) {
+      if (Now >= CloseIdleAt)
+        CallerServer.closeIdle();
       std::this_thread::sleep_for(DrainPollInterval);
+    }
     bool IsComplete = CallerServer.pending() == 0;
     std::this_thread::sleep_for(FlushDelay);
     runtime::logEvent(runtime::Level::Info, EventName::ProcessStopped,
