--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -166,6 +166,8 @@
   // owner_bundles.cpp
   /// Clears `Next.Bundle` if no record fits into one.
   std::string encodeBundle(StoreWrite &Next, size_t MaxBytes);
+  /// Limit of one record in a bundle.
+  size_t maxBundledRecordBytes() const;
   /// Limit of the records in a bundle, except for the last one.
   size_t maxBundleBytes() const;
   static bool isBundleKey(const std::string &Key);
--- a/src/teaselwalk/cell/owner_bundles.cpp
+++ b/src/teaselwalk/cell/owner_bundles.cpp
@@ -23,8 +23,13 @@
 /// Records of running jobs are soon outdated, so a lower limit would move many
 /// in vain.
 constexpr size_t MaxBundles = 64;
-/// A longer record gets a key of its own.
+/// A longer record gets a key of its own; also one of more than this part of
+/// the largest value that the store takes.
 constexpr size_t MaxBundledRecordBytes = 65536;
+constexpr size_t ValuePartOfRecord = 8;
+/// The largest value is this many times the records in a bundle: quoted within
+/// it they may be twice as long, and some room is left for their keys.
+constexpr double ValuePerBundle = 2.25;
 /// Records that one write moves from such a bundle to a new one.
 constexpr size_t RecordsPerMove = 200;
 
@@ -43,7 +48,7 @@
     if (!Encoded)
       continue;
     std::string &Record = *Encoded;
-    if (Record.size() > std::min(MaxBundledRecordBytes, maxBundleBytes())) {
+    if (Record.size() > maxBundledRecordBytes()) {
       returnToQueue(Job->Spec.Id);
       break;
     }
@@ -56,11 +61,16 @@
   return Records.dump();
 }
 
+size_t Owner::maxBundledRecordBytes() const {
+  return std::min(MaxBundledRecordBytes,
+                  Options.MaxRecordBytes / ValuePartOfRecord);
+}
+
 size_t Owner::maxBundleBytes() const {
-  // Quoted within the bundle a record may be twice as long, and the last one
-  // may exceed the limit by as much as the limit itself.
-  constexpr size_t MaxGrowth = 4;
-  return Options.MaxRecordBytes / (MaxGrowth + 1);
+  // The last record is added before the limit is reached.
+  auto Most = static_cast<size_t>(static_cast<double>(Options.MaxRecordBytes) /
+                                  ValuePerBundle);
+  return Most - maxBundledRecordBytes();
 }
 
 bool Owner::isBundleKey(const std::string &Key) {
