entry: the drain of serve closes its connections

Now idle connections are closed and the others waited for, up to the limit of the drain. Found by reading; ServerDrainTest covers the calls that it uses.

--- a/src/teaselwalk/entry/process.cpp
+++ b/src/teaselwalk/entry/process.cpp
@@ -119,12 +119,20 @@
     auto End = std::chrono::steady_clock::now() + Limit;
     Api.refuseNewWork();
     Loop.deliver(engine::DrainRequested{});
-    while (std::chrono::steady_clock::now() < End) {
-      if (Loop.isDrained() && Api.open() == 0 && Callers.pending() == 0)
-        return true;
+    bool IsDrained = false;
+    while (!IsDrained && std::chrono::steady_clock::now() < End) {
       std::this_thread::sleep_for(DrainPoll);
+      IsDrained = Loop.isDrained() && Api.open() == 0 && Callers.pending() == 0;
     }
-    return false;
+    // Until its connection is closed a caller may send another request, which
+    // must not be read and left without an answer.
+    Callers.stopAccepting();
+    while (Callers.connections() > 0 &&
+           std::chrono::steady_clock::now() < End) {
+      Callers.closeIdle();
+      std::this_thread::sleep_for(DrainPoll);
+    }
+    return IsDrained && Callers.pending() == 0;
   }
 
   std::string failure() const { return Threads.failure(); }
