--- a/src/teaselwalk/cell/job_progress_test.cpp
+++ b/src/teaselwalk/cell/job_progress_test.cpp
@@ -7,7 +7,8 @@
 namespace teaselwalk::cell {
 namespace {
 
-JobSpec jobOf(std::vector<int32_t> TasksOfSteps, int32_t Repetitions = 0) {
+JobSpec jobOf(const std::vector<int32_t> &TasksOfSteps,
+              int32_t Repetitions = 0) {
   JobSpec Job;
   Job.Id = JobId("0000000000000001");
   for (int32_t Tasks : TasksOfSteps) {
