cell: silence is no proof of a crash, and two crashes are no proof of guilt

Callers saw submissions, lasting ones too, shown as failed although no run had failed, and the tasks of such a lasting submission away for good.

An endpoint without an entry whose leases had ended counted as crashed, and the second crash under a task ended its job. An endpoint that is cut off leaves the same signs, and two crashes are chance often enough.

Only another incarnation proves a crash now. A silent endpoint is suspected; the suspicion is stored with the task, taken back when the same incarnation answers and confirmed when another one does. A task whose suspected crashes would complete the number is not started until one is settled or its owner has seen no sign of life for 30 s. Paths with the same belief: releaseIfLeasesEnded, onEndpointItem, noteSurvival, the removal of entries from the table, takeovers.

--- a/include/teaselwalk/base/event_name.hpp
+++ b/include/teaselwalk/base/event_name.hpp
@@ -68,6 +68,8 @@
   EndpointGone,
   EndpointRestarted,
   EndpointCrashed,
+  EndpointCrashSuspected,
+  CrashSuspicionWithdrawn,
   TaskPaced,
   CallerAnswered,
   EvacuationChanged,
@@ -78,7 +80,7 @@
   ProcessLoad,
 };
 
-constexpr std::array<EnumName<EventName>, 70> EventNames = {{
+constexpr std::array<EnumName<EventName>, 72> EventNames = {{
     {EventName::ProcessStarted, "process_started"},
     {EventName::ProcessReady, "process_ready"},
     {EventName::ProcessStopping, "process_stopping"},
@@ -141,6 +143,8 @@
     {EventName::EndpointGone, "endpoint_gone"},
     {EventName::EndpointRestarted, "endpoint_reborn"},
     {EventName::EndpointCrashed, "endpoint_crashed"},
+    {EventName::EndpointCrashSuspected, "endpoint_crash_suspected"},
+    {EventName::CrashSuspicionWithdrawn, "crash_suspicion_withdrawn"},
     {EventName::TaskPaced, "task_paced"},
     {EventName::CallerAnswered, "caller_answered"},
     {EventName::EvacuationChanged, "evacuation_changed"},
--- a/include/teaselwalk/cell/crash_suspects.hpp
+++ b/include/teaselwalk/cell/crash_suspects.hpp
@@ -9,18 +9,27 @@
 /// Finds out which task has crashed its endpoint. A task that crashes the
 /// endpoints that start it does so soon after its start, so the suspects are
 /// the runs that had just been started. A suspected task is then started in
-/// isolation: no other start on that endpoint comes close to its own, so a
-/// second crash has no other suspect.
+/// isolation: no other start on that endpoint comes close to its own, so
+/// another crash has no other suspect.
+///
+/// Only another incarnation of an endpoint proves that it has crashed. One that
+/// is silent may be cut off, whether its entry is listed or not, so a crash is
+/// suspected until the endpoint answers: as the same incarnation, which takes
+/// the suspicion back, or as another one, which confirms it.
 namespace teaselwalk::cell {
 
 /// A run that has lived this long is not suspected of a crash.
 constexpr Duration SuspicionWindow{400};
 
 /// A task is given up after this many crashes if the last one has no other
-/// explanation.
-constexpr int32_t CrashesToGiveUp = 2;
+/// explanation. With as many crashes, confirmed and suspected, it is not
+/// started until a suspicion is settled.
+constexpr int32_t CrashesToGiveUp = 3;
 /// A task is given up after this many crashes in any case.
 constexpr int32_t MaxCrashes = 4;
+/// An endpoint that is silent for this long counts as crashed for a task that
+/// is not started until the suspicion is settled.
+constexpr Duration LongestSilence{30000};
 
 /// An endpoint crashed at an unknown time between these two.
 struct CrashTime {
@@ -28,6 +37,19 @@
   TimePoint FirstFailureAt; ///< The first call that failed after it.
 };
 
+/// An endpoint that has been silent since soon after it started a run of a
+/// task, so that the run may have crashed it.
+struct SuspectedCrash {
+  EndpointId Endpoint;
+  int64_t IncarnationMs = 0; ///< The one that started the run; 0: unknown.
+  int64_t Attempt = 0;
+  /// Since then this owner has seen no sign of life. Not stored: a later owner
+  /// has to wait for one itself.
+  TimePoint Since;
+  /// Others were lost at the same time, so the run is hardly the cause.
+  bool HasCommonCause = false;
+};
+
 /// A run on an endpoint that crashed.
 struct RunAtCrash {
   TaskKey Task;
@@ -37,6 +59,12 @@
   /// False if a former owner has sent the start and nothing has shown since
   /// whether the run was alive.
   bool IsStartKnown = true;
+  int64_t IncarnationMs = 0; ///< Of the endpoint; 0: unknown.
+
+  /// False if the run may be one of incarnation \p NowMs.
+  bool isOfFormerIncarnation(int64_t NowMs) const {
+    return IncarnationMs != 0 && IncarnationMs != NowMs;
+  }
 };
 
 /// The runs in \p Runs that may have crashed their endpoint.
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -61,9 +61,11 @@
   Resources Reserved; ///< Resources that are reserved for `Tasks`.
   /// Tasks that may run here.
   std::unordered_set<TaskKey> Tasks;
-  /// Runs that were released while it was silent but still listed, so it may
-  /// have crashed or be unreachable.
+  /// Runs that were released because it was silent. Its next answer shows
+  /// whether it has crashed.
   std::vector<RunAtCrash> ReleasedRuns;
+  /// Others were lost at the same time as it became silent.
+  bool HadCommonCause = false;
   /// The suspected task that is or was started here in isolation.
   std::optional<TaskKey> IsolatedTask;
   int32_t ServingTasks = 0; ///< Tasks with a limit of their tail latency.
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/job.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
@@ -27,6 +28,8 @@
   int32_t Failures = 0;     ///< Runs that ended by a failure.
   /// Crashes of endpoints that a run of this task may have caused.
   int32_t Crashes = 0;
+  /// Endpoints that are silent, of which a run may have caused the crash.
+  std::vector<SuspectedCrash> SuspectedCrashes;
   int64_t Attempt = 0;           ///< Number of the latest run; 0: none.
   EndpointId AssignedTo;         ///< Endpoint of the latest run.
   std::string Checkpoint;        ///< Latest that is known; empty: none.
@@ -35,7 +38,8 @@
   int64_t StartToken = 0;
   /// The endpoint's incarnation when the task was assigned to it; 0: unknown.
   int64_t IncarnationMs = 0;
-  int64_t CrashedAttempt = 0; ///< Latest attempt in which a crash was counted.
+  /// Latest attempt in which a crash was counted or suspected.
+  int64_t CrashedAttempt = 0;
   TimePoint AssignedAt;
   /// When the endpoint accepted the start request or first listed the run.
   TimePoint StartConfirmedAt;
@@ -47,6 +51,18 @@
   int64_t LoadMetric = 0;      ///< As in `ActiveRun`.
   TimePoint ObservedSince;     ///< When the run was first listed.
   int32_t FirstProgressPercent = 0; ///< Progress at that time.
+
+  /// True if a run may have crashed an endpoint, so that the next one starts in
+  /// isolation.
+  bool isSuspected() const { return Crashes > 0 || !SuspectedCrashes.empty(); }
+  /// True if no run may start until a suspicion is settled.
+  bool mustAwaitVerdict() const {
+    return !SuspectedCrashes.empty() && hasTooManyCrashes(TimePoint::max());
+  }
+  /// True if the task would be given up if all crashes that were suspected
+  /// before \p Limit were confirmed.
+  bool hasTooManyCrashes(TimePoint Limit) const;
+  SuspectedCrash *suspectedCrash(const EndpointId &Endpoint);
 };
 
 /// Progress of one step of one occurrence.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -118,6 +118,8 @@
   /// When \p Job was accepted, on the steady clock.
   TimePoint acceptanceTime(const JobSpec &Job) const;
   void restoreAssignments(JobProgress &Job);
+  /// The entry of an endpoint that a record names.
+  TrackedEndpoint &restoredEndpoint(const EndpointId &Id);
   void onEndpointItem(const StoreItem &Item);
   /// Delay of the first renewal at an endpoint that was just listed.
   Duration firstContactDelay();
@@ -244,18 +246,34 @@
   void noteIncarnation(const TrackedEndpoint &Endpoint, const TaskKey &Key,
                        int64_t Attempt, int64_t IncarnationMs);
   CrashTime crashTimeOf(const TrackedEndpoint &Endpoint) const;
-  /// Runs on an endpoint of which \p NowMs is the present incarnation; 0: it
-  /// does not answer.
+  /// Runs that an endpoint was last known to hold. Excludes those that may be
+  /// runs of \p NowMs, its present incarnation; 0: it does not answer.
   std::vector<RunAtCrash> runsAtCrash(const TrackedEndpoint &Endpoint,
                                       int64_t NowMs);
+  /// Suspects the tasks that may have crashed a silent endpoint. Its next
+  /// answer shows whether it has crashed.
+  void suspectCrash(TrackedEndpoint &Endpoint);
+  void restoreSuspicions(const TaskKey &Key, TaskProgress &Task);
+  /// True if \p Run is suspected of having crashed \p Endpoint.
+  bool isSuspected(const EndpointId &Endpoint, const RunAtCrash &Run);
+  /// True if \p Endpoint, which is not listed, is called all the same because
+  /// its answer would settle a suspicion.
+  bool awaitsVerdict(const TrackedEndpoint &Endpoint);
+  /// Ends jobs that would wait without end for the answers of endpoints that
+  /// have been silent for `LongestSilence`.
+  void giveUpAfterSilence();
   /// Counts the crash of an endpoint against the tasks that may have caused it.
-  /// \p NowMs as for `runsAtCrash`.
+  /// \p NowMs is its present incarnation.
   void countCrash(TrackedEndpoint &Endpoint, int64_t NowMs);
-  void logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
-                const std::vector<RunAtCrash> &Runs,
+  void logCrash(EventName Name, const TrackedEndpoint &Endpoint, int64_t NowMs,
                 const std::vector<RunAtCrash> &Suspects, bool IsProven);
-  /// Adds a crash to the account of \p Run, once for each attempt.
-  bool countAgainst(const RunAtCrash &Run);
+  /// The endpoint of \p Run has not crashed.
+  void withdrawSuspicion(const TrackedEndpoint &Endpoint,
+                         const RunAtCrash &Run);
+  static void dropSuspicion(TaskProgress &Task, const EndpointId &Endpoint);
+  /// Adds a crash of \p Endpoint to the account of \p Run, once for each
+  /// attempt.
+  bool countAgainst(const RunAtCrash &Run, const EndpointId &Endpoint);
   /// Ends the jobs of those of \p Tasks with too many crashes.
   void giveUp(const std::vector<TaskKey> &Tasks, bool IsProven);
   /// True if no task of job \p Id may be placed on \p Endpoint because of a
@@ -266,7 +284,9 @@
   bool mustPostpone(const TaskKey &Key, const TaskProgress &Task);
   /// An endpoint without an answer has not crashed.
   void noteSurvival(TrackedEndpoint &Endpoint);
-  void clearSuspicion(TaskProgress &Task) const;
+  /// Clears the task of a run by the time that it has lived.
+  void clearSuspicion(const TrackedEndpoint &Endpoint, JobProgress &Job,
+                      TaskProgress &Task);
   /// Tries to send the starts of \p Postponed again after a while.
   void retryPostponedStarts(JobProgress &Job,
                             const std::vector<TaskKey> &Postponed);
@@ -407,6 +427,8 @@
   TimePoint UsableNotedAt;      ///< Time of the latest `noteUsableEndpoints`.
   TimePoint NextRepeatedSearch; ///< The latest `StepAdvice::SearchAgainAt`.
   LostEndpoints Lost;
+  /// Tasks with suspected crashes, and others that had some.
+  std::unordered_set<TaskKey> SuspectedTasks;
   RoomClaims Claims; ///< Of the steps whose requests for advice are open.
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -20,10 +20,19 @@
 /// Elements of the pair that stands for a run of equal tasks.
 constexpr size_t PairSize = 2;
 
+Json encodeSuspected(const TaskProgress &Task) {
+  Json Rows = Json::array();
+  for (const SuspectedCrash &Each : Task.SuspectedCrashes)
+    Rows.push_back({Each.Endpoint.str(), Each.IncarnationMs, Each.Attempt,
+                    Each.HasCommonCause});
+  return Rows;
+}
+
 /// In a record, a task is 0 (never assigned), 1 (done) or an array of attempt,
 /// failures, endpoint (empty unless the task may run there), checkpoint (empty:
-/// none), crashes and incarnation of the endpoint. Values at the end that are
-/// empty or 0 are left out.
+/// none), crashes, incarnation of the endpoint and suspected crashes, each as
+/// endpoint, incarnation, attempt and whether it has a common cause with
+/// others. Values at the end that are empty or 0 are left out.
 Json encodeTask(const TaskProgress &Task, bool WithCheckpoint) {
   if (Task.Phase == TaskPhase::Done)
     return 1;
@@ -32,14 +41,18 @@
   bool MayRun = Task.Phase != TaskPhase::Waiting;
   Json Row = {Task.Attempt, Task.Failures, MayRun ? Task.AssignedTo.str() : ""};
   int64_t IncarnationMs = MayRun ? Task.IncarnationMs : 0;
-  bool HasCrashes = Task.Crashes != 0 || IncarnationMs != 0;
+  bool IsSuspected = !Task.SuspectedCrashes.empty();
+  bool HasIncarnation = IncarnationMs != 0 || IsSuspected;
+  bool HasCrashes = Task.Crashes != 0 || HasIncarnation;
   std::string Checkpoint = WithCheckpoint ? Task.Checkpoint : "";
   if (!Checkpoint.empty() || HasCrashes)
     Row.push_back(std::move(Checkpoint));
   if (HasCrashes)
     Row.push_back(Task.Crashes);
-  if (IncarnationMs != 0)
+  if (HasIncarnation)
     Row.push_back(IncarnationMs);
+  if (IsSuspected)
+    Row.push_back(encodeSuspected(Task));
   return Row;
 }
 
@@ -81,6 +94,13 @@
   return static_cast<int32_t>(integerIn(Value, Name, 0, MaxRecordCount));
 }
 
+SuspectedCrash suspectedCrashOf(const Json &Row) {
+  return {EndpointId(Row.at(0).get<std::string>()),
+          integerIn(Row.at(1), "incarnation", 0, MaxRecordNumber),
+          integerIn(Row.at(2), "attempt", 1, MaxRecordNumber), TimePoint(),
+          Row.at(3).get<bool>()};
+}
+
 void restoreTask(const Json &Value, TaskProgress &Task) {
   if (Value.is_number()) {
     Task.Phase = integerIn(Value, "tasks", 0, 1) == 1 ? TaskPhase::Done
@@ -99,6 +119,9 @@
   if (Value.size() > 5)
     Task.IncarnationMs =
         integerIn(Value.at(5), "incarnation", 0, MaxRecordNumber);
+  if (Value.size() > 6)
+    for (const Json &Row : Value.at(6))
+      Task.SuspectedCrashes.push_back(suspectedCrashOf(Row));
 }
 
 void restoreTasks(const Json &Rows, std::vector<TaskProgress> &Tasks) {
@@ -126,6 +149,25 @@
 
 } // namespace
 
+bool TaskProgress::hasTooManyCrashes(TimePoint Limit) const {
+  int32_t Suspected = 0;
+  int32_t Unexplained = 0;
+  for (const SuspectedCrash &Each : SuspectedCrashes)
+    if (Each.Since < Limit) {
+      ++Suspected;
+      Unexplained += Each.HasCommonCause ? 0 : 1;
+    }
+  return (Unexplained > 0 && Crashes + Unexplained >= CrashesToGiveUp) ||
+         Crashes + Suspected >= MaxCrashes;
+}
+
+SuspectedCrash *TaskProgress::suspectedCrash(const EndpointId &Endpoint) {
+  auto Found = std::find_if(
+      SuspectedCrashes.begin(), SuspectedCrashes.end(),
+      [&](const SuspectedCrash &Each) { return Each.Endpoint == Endpoint; });
+  return Found == SuspectedCrashes.end() ? nullptr : &*Found;
+}
+
 JobProgress::JobProgress(JobSpec Given) : Spec(std::move(Given)) {
   if (Spec.Repetitions == 0)
     open(0);
--- a/src/teaselwalk/cell/oversized_records_test.cpp
+++ b/src/teaselwalk/cell/oversized_records_test.cpp
@@ -124,6 +124,32 @@
 // Guards against checkpoints that make the record too large, since endpoints
 // and not callers determine their size.
 TEST_F(OversizedRecordsTest, LargeCheckpointsAreLeftOut) {
+  begin(2, 4);
+  World.Store.MaxValueBytes = 4000;
+  World.Cluster.DefaultWork.Length = Duration(6000);
+  World.Cluster.DefaultWork.Checkpoint = std::string(5000, 'c');
+  JobSpec Job = World.job(1, {FakeWorld::step(4)});
+  Job.Steps.front().Checkpoints = true;
+  // As long as the work, so that no endpoint is taken for slow.
+  Job.Steps.front().Estimate = Duration(6000);
+  submit(Job);
+  // The first checkpoints are reported within a second.
+  World.Clock.runFor(Duration(2500));
+  std::vector<JobSpec> Others = submitOthers(6);
+  // The release of the tasks of a crashed endpoint changes the record.
+  for (auto &[Id, Machine] : World.Cluster.Machines)
+    if (!Machine.Running.empty()) {
+      World.Cluster.crash(Id);
+      break;
+    }
+  World.Clock.runFor(Duration(22000));
+  EXPECT_EQ(completed(Others), 6);
+  EXPECT_EQ(World.status(0, Job).State, JobPhase::Completed);
+}
+
+// Guards against a task that runs longer than declared and is stopped on one
+// endpoint after the other, as each of them is taken for slow.
+TEST_F(OversizedRecordsTest, ATaskLongerThanDeclaredIsNotMovedWithoutEnd) {
   begin(2, 4);
   World.Store.MaxValueBytes = 4000;
   World.Cluster.DefaultWork.Length = Duration(6000);
--- a/src/teaselwalk/cell/owner_crashes.cpp
+++ b/src/teaselwalk/cell/owner_crashes.cpp
@@ -10,9 +10,16 @@
 /// Pause before the start of an isolated task is tried again.
 constexpr Duration PostponedStartRetry{40};
 
-/// A task that has run this long on an endpoint is cleared of all suspicion.
+/// A run of this length clears its task of confirmed crashes.
 constexpr Duration ClearedAfter{10000};
 
+bool contains(const std::vector<RunAtCrash> &Runs, const TaskKey &Task,
+              int64_t Attempt) {
+  return std::any_of(Runs.begin(), Runs.end(), [&](const RunAtCrash &Run) {
+    return Run.Task == Task && Run.Attempt == Attempt;
+  });
+}
+
 } // namespace
 
 void Owner::noteAlive(TrackedEndpoint &Endpoint, TimePoint Sent,
@@ -74,11 +81,46 @@
 void Owner::noteSurvival(TrackedEndpoint &Endpoint) {
   if (Endpoint.FirstFailureAt != TimePoint())
     Lost.remove(Endpoint.Info.Id);
-  Endpoint.ReleasedRuns.clear();
+  Endpoint.HadCommonCause = false;
+  for (const RunAtCrash &Run : std::exchange(Endpoint.ReleasedRuns, {}))
+    withdrawSuspicion(Endpoint, Run);
+}
+
+void Owner::withdrawSuspicion(const TrackedEndpoint &Endpoint,
+                              const RunAtCrash &Run) {
+  JobProgress *Job = jobOf(Run.Task.Job);
+  TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
+  if (Task == nullptr || Task->suspectedCrash(Endpoint.Info.Id) == nullptr)
+    return;
+  dropSuspicion(*Task, Endpoint.Info.Id);
+  markChanged(*Job);
+  Log.count("crash_suspicions_withdrawn");
+  Log.event(EventName::CrashSuspicionWithdrawn,
+            {{"job", Run.Task.Job.str()},
+             {"task", textOf(Run.Task)},
+             {"attempt", std::to_string(Run.Attempt)},
+             {"endpoint", Endpoint.Info.Id.str()},
+             {"incarnation", std::to_string(Endpoint.IncarnationMs)}});
+  requestSchedulingPass();
+}
+
+void Owner::dropSuspicion(TaskProgress &Task, const EndpointId &Endpoint) {
+  auto &All = Task.SuspectedCrashes;
+  All.erase(std::remove_if(All.begin(), All.end(),
+                           [&](const SuspectedCrash &Each) {
+                             return Each.Endpoint == Endpoint;
+                           }),
+            All.end());
 }
 
-void Owner::clearSuspicion(TaskProgress &Task) const {
-  if (Clock.now() - Task.StartConfirmedAt > ClearedAfter)
+void Owner::clearSuspicion(const TrackedEndpoint &Endpoint, JobProgress &Job,
+                           TaskProgress &Task) {
+  Duration Lived = Endpoint.LastAliveAt - Task.StartConfirmedAt;
+  if (Lived >= SuspicionWindow && !Task.SuspectedCrashes.empty()) {
+    Task.SuspectedCrashes.clear();
+    markChanged(Job);
+  }
+  if (Lived >= ClearedAfter)
     Task.Crashes = 0;
 }
 
@@ -93,39 +135,121 @@
   std::vector<RunAtCrash> Runs = Endpoint.ReleasedRuns;
   for (const TaskKey &Key : Endpoint.Tasks) {
     const TaskProgress &Task = *jobOf(Key.Job)->find(Key);
-    bool IsOfPresentIncarnation =
-        NowMs != 0 && (Task.IncarnationMs == 0 || Task.IncarnationMs == NowMs);
-    if (!Task.IsStartSent || IsOfPresentIncarnation)
+    if (!Task.IsStartSent)
+      continue;
+    if (contains(Endpoint.ReleasedRuns, Key, Task.Attempt))
       continue;
     // A run of a former owner was alive when this owner first saw it.
     bool IsOwnStart = Task.StartToken != 0;
     bool WasSeen = Task.StartConfirmedAt != TimePoint();
     Runs.push_back({Key, Task.Attempt,
                     IsOwnStart ? Task.AssignedAt : Task.StartConfirmedAt,
-                    IsOwnStart || WasSeen});
+                    IsOwnStart || WasSeen, Task.IncarnationMs});
   }
+  auto IsExcluded = [NowMs](const RunAtCrash &Run) {
+    return NowMs != 0 && !Run.isOfFormerIncarnation(NowMs);
+  };
+  Runs.erase(std::remove_if(Runs.begin(), Runs.end(), IsExcluded), Runs.end());
   return Runs;
 }
 
+void Owner::suspectCrash(TrackedEndpoint &Endpoint) {
+  Endpoint.ReleasedRuns = runsAtCrash(Endpoint, 0);
+  CrashTime Crash = crashTimeOf(Endpoint);
+  std::vector<RunAtCrash> Suspects = suspectsOf(Crash, Endpoint.ReleasedRuns);
+  Endpoint.HadCommonCause |= Lost.haveCommonCause(Endpoint.Info.Id, Crash);
+  logCrash(EventName::EndpointCrashSuspected, Endpoint, 0, Suspects, false);
+  for (const RunAtCrash &Run : Suspects) {
+    JobProgress *Job = jobOf(Run.Task.Job);
+    TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
+    if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done ||
+        Task->CrashedAttempt >= Run.Attempt ||
+        Task->suspectedCrash(Endpoint.Info.Id) != nullptr)
+      continue;
+    Task->CrashedAttempt = Run.Attempt;
+    Task->SuspectedCrashes.push_back({Endpoint.Info.Id, Run.IncarnationMs,
+                                      Run.Attempt, Clock.now(),
+                                      Endpoint.HadCommonCause});
+    SuspectedTasks.insert(Run.Task);
+    Log.count("crashes_suspected");
+    markChanged(*Job);
+  }
+}
+
+void Owner::restoreSuspicions(const TaskKey &Key, TaskProgress &Task) {
+  for (SuspectedCrash &Each : Task.SuspectedCrashes) {
+    restoredEndpoint(Each.Endpoint)
+        .ReleasedRuns.push_back(
+            {Key, Each.Attempt, TimePoint(), false, Each.IncarnationMs});
+    Each.Since = GainedAt;
+    Task.CrashedAttempt = std::max(Task.CrashedAttempt, Each.Attempt);
+    SuspectedTasks.insert(Key);
+  }
+}
+
+bool Owner::isSuspected(const EndpointId &Endpoint, const RunAtCrash &Run) {
+  JobProgress *Job = jobOf(Run.Task.Job);
+  TaskProgress *Task =
+      Job == nullptr || Job->isEnded() ? nullptr : Job->find(Run.Task);
+  return Task != nullptr && Task->Phase != TaskPhase::Done &&
+         Task->suspectedCrash(Endpoint) != nullptr;
+}
+
+bool Owner::awaitsVerdict(const TrackedEndpoint &Endpoint) {
+  return Clock.now() - Endpoint.UnlistedSince <= LongestSilence &&
+         std::any_of(Endpoint.ReleasedRuns.begin(), Endpoint.ReleasedRuns.end(),
+                     [&](const RunAtCrash &Run) {
+                       return isSuspected(Endpoint.Info.Id, Run);
+                     });
+}
+
+void Owner::giveUpAfterSilence() {
+  TimePoint Limit = Clock.now() - LongestSilence;
+  for (auto It = SuspectedTasks.begin(); It != SuspectedTasks.end();) {
+    TaskKey Key = *It;
+    JobProgress *Job = jobOf(Key.Job);
+    TaskProgress *Task =
+        Job == nullptr || Job->isEnded() ? nullptr : Job->find(Key);
+    bool IsOpen = Task != nullptr && !Task->SuspectedCrashes.empty();
+    It = IsOpen ? std::next(It) : SuspectedTasks.erase(It);
+    if (!IsOpen)
+      continue;
+    if (Task->Phase == TaskPhase::Waiting && Task->hasTooManyCrashes(Limit))
+      endJob(*Job, JobPhase::Failed,
+             "endpoints have crashed or been silent for " +
+                 std::to_string(LongestSilence.count()) +
+                 " ms since they started task " + textOf(Key));
+  }
+}
+
 void Owner::countCrash(TrackedEndpoint &Endpoint, int64_t NowMs) {
   std::vector<RunAtCrash> Runs = runsAtCrash(Endpoint, NowMs);
-  Endpoint.ReleasedRuns.clear();
+  for (const RunAtCrash &Run : std::exchange(Endpoint.ReleasedRuns, {}))
+    if (!Run.isOfFormerIncarnation(NowMs))
+      withdrawSuspicion(Endpoint, Run);
   Endpoint.ClockOrigin = TimePoint();
+  bool HadCommonCause = std::exchange(Endpoint.HadCommonCause, false);
   if (Runs.empty())
     return;
   CrashTime Crash = crashTimeOf(Endpoint);
   std::vector<RunAtCrash> Suspects = suspectsOf(Crash, Runs);
+  // A suspicion does not end because the restart has made the times less exact.
+  for (const RunAtCrash &Run : Runs)
+    if (isSuspected(Endpoint.Info.Id, Run) &&
+        !contains(Suspects, Run.Task, Run.Attempt))
+      Suspects.push_back(Run);
   // A job is given up as a whole, so it need not be known which of its tasks
   // has caused the crash.
   bool IsOneJob =
       std::all_of(Suspects.begin(), Suspects.end(), [&](const RunAtCrash &Run) {
         return Run.IsStartKnown && Run.Task.Job == Suspects.front().Task.Job;
       });
-  bool IsProven = IsOneJob && !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
-  logCrash(Endpoint, NowMs, Runs, Suspects, IsProven);
+  bool IsProven = IsOneJob && !HadCommonCause &&
+                  !Lost.haveCommonCause(Endpoint.Info.Id, Crash);
+  logCrash(EventName::EndpointCrashed, Endpoint, NowMs, Suspects, IsProven);
   std::vector<TaskKey> Counted;
   for (const RunAtCrash &Run : Suspects)
-    if (countAgainst(Run))
+    if (countAgainst(Run, Endpoint.Info.Id))
       Counted.push_back(Run.Task);
   Duration Delay = Crash.FirstFailureAt + ContactTimeout - Clock.now();
   if (!IsProven || Delay.count() <= 0)
@@ -154,9 +278,9 @@
   }
 }
 
-void Owner::logCrash(const TrackedEndpoint &Endpoint, int64_t NowMs,
-                     const std::vector<RunAtCrash> &Runs,
-                     const std::vector<RunAtCrash> &Suspects, bool IsProven) {
+void Owner::logCrash(EventName Name, const TrackedEndpoint &Endpoint,
+                     int64_t NowMs, const std::vector<RunAtCrash> &Suspects,
+                     bool IsProven) {
   CrashTime Crash = crashTimeOf(Endpoint);
   std::string Names;
   for (const RunAtCrash &Run : Suspects) {
@@ -166,29 +290,34 @@
              textOf(Run.Task) + '#' + std::to_string(Run.Attempt) + ':' +
              std::to_string(Task == nullptr ? 0 : Task->Crashes);
   }
-  Log.event(EventName::EndpointCrashed,
+  Log.event(Name,
             {{"endpoint", Endpoint.Info.Id.str()},
              {"before", std::to_string(Endpoint.IncarnationMs)},
-             {"now", NowMs == 0 ? "gone" : std::to_string(NowMs)},
+             {"now", NowMs == 0 ? "silent" : std::to_string(NowMs)},
+             {"listed", Endpoint.IsListed ? "true" : "false"},
              {"alive_ms_ago",
               std::to_string((Clock.now() - Crash.LastAliveAt).count())},
              {"failed_ms_ago",
               std::to_string((Clock.now() - Crash.FirstFailureAt).count())},
-             {"runs", std::to_string(Runs.size())},
              {"common_cause",
               Lost.haveCommonCause(Endpoint.Info.Id, Crash) ? "true" : "false"},
              {"proven", IsProven ? "true" : "false"},
              {"suspects", Names}});
 }
 
-bool Owner::countAgainst(const RunAtCrash &Run) {
+bool Owner::countAgainst(const RunAtCrash &Run, const EndpointId &Endpoint) {
   JobProgress *Job = jobOf(Run.Task.Job);
   TaskProgress *Task = Job == nullptr ? nullptr : Job->find(Run.Task);
-  if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done ||
-      Task->CrashedAttempt >= Run.Attempt)
+  if (Task == nullptr || Job->isEnded() || Task->Phase == TaskPhase::Done)
+    return false;
+  bool WasSuspected = Task->suspectedCrash(Endpoint) != nullptr;
+  // A suspicion that was cleared meanwhile does not come back.
+  if (!WasSuspected && Task->CrashedAttempt >= Run.Attempt)
     return false;
-  Task->CrashedAttempt = Run.Attempt;
+  dropSuspicion(*Task, Endpoint);
+  Task->CrashedAttempt = std::max(Task->CrashedAttempt, Run.Attempt);
   ++Task->Crashes;
+  Log.count("crashes_confirmed");
   markChanged(*Job);
   return true;
 }
@@ -206,7 +335,7 @@
 }
 
 bool Owner::mustPostpone(const TaskKey &Key, const TaskProgress &Task) {
-  if (Task.Crashes == 0)
+  if (!Task.isSuspected())
     return false;
   const TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
   bool HasUnsent = std::any_of(
--- a/src/teaselwalk/cell/owner_gangs.cpp
+++ b/src/teaselwalk/cell/owner_gangs.cpp
@@ -18,7 +18,7 @@
   TimePoint Now = Clock.now();
   for (const TaskProgress &Task : State.Tasks) {
     Attempt = std::max(Attempt, Task.Attempt);
-    if (Task.NotBefore > Now)
+    if (Task.NotBefore > Now || Task.mustAwaitVerdict())
       return;
   }
   for (int32_t T = 1; T < Step.Tasks; ++T)
@@ -32,7 +32,7 @@
   // Suspected tasks first, since no other task may be placed with them.
   for (bool IsSuspected : {true, false})
     for (int32_t T = 0; T < Step.Tasks; ++T) {
-      if ((State.Tasks[static_cast<size_t>(T)].Crashes > 0) != IsSuspected)
+      if (State.Tasks[static_cast<size_t>(T)].isSuspected() != IsSuspected)
         continue;
       TrackedEndpoint *Endpoint =
           chooseEndpoint(Job, Step, Next.Key, Advice, IsSuspected);
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -204,25 +204,30 @@
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
       for (size_t T = 0; T < Occurrence.Steps[S].Tasks.size(); ++T) {
         TaskProgress &Task = Occurrence.Steps[S].Tasks[T];
+        TaskKey Key{Job.Spec.Id, Number, static_cast<int32_t>(S),
+                    static_cast<int32_t>(T)};
+        restoreSuspicions(Key, Task);
         if (Task.Phase != TaskPhase::Assigned)
           continue;
         // A former owner may have sent the start request.
         Task.IsStartSent = true;
         Task.AssignedAt = GainedAt;
-        TrackedEndpoint &Endpoint = Table[Task.AssignedTo];
-        if (Endpoint.Token == 0) {
-          Endpoint.Info.Id = Task.AssignedTo;
-          Endpoint.Token = HighestToken;
-          Endpoint.UnlistedSince = GainedAt;
-          // The former owner may have extended leases until then.
-          Endpoint.RenewedAt = GainedAt + MaxConfirmationAgeToExtend;
-        }
-        reserveResources(Endpoint, Job,
-                         {Job.Spec.Id, Number, static_cast<int32_t>(S),
-                          static_cast<int32_t>(T)});
+        reserveResources(restoredEndpoint(Task.AssignedTo), Job, Key);
       }
 }
 
+TrackedEndpoint &Owner::restoredEndpoint(const EndpointId &Id) {
+  TrackedEndpoint &Endpoint = Table[Id];
+  if (Endpoint.Token == 0) {
+    Endpoint.Info.Id = Id;
+    Endpoint.Token = HighestToken;
+    Endpoint.UnlistedSince = GainedAt;
+    // The former owner may have extended leases until then.
+    Endpoint.RenewedAt = GainedAt + MaxConfirmationAgeToExtend;
+  }
+  return Endpoint;
+}
+
 void Owner::cancelJob(const JobId &Id) {
   JobProgress *Job = jobOf(Id);
   if (Job == nullptr) {
@@ -244,8 +249,6 @@
     Found->second.IsListed = false;
     Found->second.UnlistedSince = Clock.now();
     Log.event(EventName::EndpointGone, {{"endpoint", Id.str()}});
-    if (!Found->second.Info.Draining && !Found->second.ReleasedRuns.empty())
-      countCrash(Found->second, 0);
     return;
   }
   EndpointInfo Info;
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -57,6 +57,7 @@
   updateDueJobs();
   removeEndedJobs();
   compactBundles();
+  giveUpAfterSilence();
   TimePoint Now = Clock.now();
   for (auto &[Id, Endpoint] : Table)
     releaseIfLeasesEnded(Endpoint, Now);
@@ -64,7 +65,8 @@
     // Drops the entries that a takeover has made for endpoints that the
     // discovery list never named.
     bool IsEmpty = It->second.Info.Address.Port == 0 &&
-                   It->second.Tasks.empty() && !It->second.IsListed;
+                   It->second.Tasks.empty() && !It->second.IsListed &&
+                   !awaitsVerdict(It->second);
     It = IsEmpty ? Table.erase(It) : std::next(It);
   }
   requestSchedulingPass();
@@ -178,11 +180,12 @@
   bool IsShort = false;
   for (size_t T = 0; T < State.Tasks.size() && State.Waiting > 0; ++T) {
     TaskProgress &Task = State.Tasks[T];
-    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now)
+    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now ||
+        Task.mustAwaitVerdict())
       continue;
     if (!fitsTeamLimit(Job, Step.Need) || isStartLimitReached())
       break;
-    bool IsSuspected = Task.Crashes > 0;
+    bool IsSuspected = Task.isSuspected();
     TrackedEndpoint *Endpoint =
         chooseEndpoint(Job, Step, Next.Key, Advice, IsSuspected);
     if (Endpoint == nullptr) {
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -37,7 +37,7 @@
     return;
   TimePoint Now = Clock.now();
   bool IsUnused = !Endpoint.IsListed && Endpoint.Tasks.empty() &&
-                  Endpoint.StrayRuns.empty();
+                  Endpoint.StrayRuns.empty() && !awaitsVerdict(Endpoint);
   if (IsUnused && IsLongPoll && Now - Endpoint.UnlistedSince > ContactTimeout) {
     Table.erase(Found);
     return;
@@ -222,7 +222,7 @@
     Open.markStarted(*Job);
     if (Task->StartConfirmedAt == TimePoint())
       Task->StartConfirmedAt = Now;
-    clearSuspicion(*Task);
+    clearSuspicion(Endpoint, *Job, *Task);
     Task->ProgressPercent = Run.ProgressPercent;
     checkProgress(Endpoint, *Job, Run.Task, *Task, Run.ProgressPercent);
     Task->LoadMetric = Run.LoadMetric;
@@ -293,10 +293,8 @@
       {{"endpoint", Endpoint.Info.Id.str()},
        {"silent_ms", std::to_string((Now - Endpoint.LastAnswerAt).count())},
        {"tasks", std::to_string(Expired.size())}});
-  if (Endpoint.IsListed)
-    Endpoint.ReleasedRuns = runsAtCrash(Endpoint, 0);
-  else if (!Endpoint.Info.Draining)
-    countCrash(Endpoint, 0);
+  if (!Endpoint.Info.Draining)
+    suspectCrash(Endpoint);
   for (const TaskKey &Key : Expired)
     releaseTask(Key, "the lease has ended");
 }
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -132,7 +132,7 @@
   Task.AssignedAt = Now;
   OpenStarts[Key] = Now;
   Endpoint.LastStartAt = Now;
-  if (Task.Crashes > 0)
+  if (Task.isSuspected())
     verifyAlive(Task.AssignedTo);
   Endpoint.RenewedAt = std::max(Endpoint.RenewedAt, Now);
   Log.count("starts");
