--- a/include/teaselwalk/base/id.hpp
+++ b/include/teaselwalk/base/id.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "teaselwalk/base/shared_text.hpp"
+
 #include <functional>
 #include <ostream>
 #include <string>
@@ -21,18 +23,19 @@
   Id() = default;
   explicit Id(std::string Value) : Text(std::move(Value)) {}
 
-  const std::string &str() const { return Text; }
+  const std::string &str() const { return Text.str(); }
   bool empty() const { return Text.empty(); }
+  size_t hash() const { return Text.hash(); }
 
   friend bool operator==(const Id &A, const Id &B) { return A.Text == B.Text; }
-  friend bool operator!=(const Id &A, const Id &B) { return A.Text != B.Text; }
+  friend bool operator!=(const Id &A, const Id &B) { return !(A == B); }
   friend bool operator<(const Id &A, const Id &B) { return A.Text < B.Text; }
   friend std::ostream &operator<<(std::ostream &Out, const Id &Value) {
-    return Out << Value.Text;
+    return Out << Value.str();
   }
 
 private:
-  std::string Text;
+  SharedText Text;
 };
 
 using DataCentreId = Id<struct DataCentreTag>;
@@ -51,7 +54,7 @@
 namespace std {
 template <typename Tag> struct hash<teaselwalk::Id<Tag>> {
   size_t operator()(const teaselwalk::Id<Tag> &Value) const {
-    return hash<string>()(Value.str());
+    return Value.hash();
   }
 };
 } // namespace std
--- a/include/teaselwalk/cell/job.hpp
+++ b/include/teaselwalk/cell/job.hpp
@@ -119,7 +119,7 @@
     size_t Mixed = static_cast<size_t>(Key.Occurrence) * 1000003U +
                    static_cast<size_t>(Key.Step) * 8191U +
                    static_cast<size_t>(Key.Index);
-    return hash<string>()(Key.Job.str()) ^ (Mixed * 0x9E3779B97F4A7C15ULL);
+    return Key.Job.hash() ^ (Mixed * 0x9E3779B97F4A7C15ULL);
   }
 };
 } // namespace std
