base, cell, http, platform: messages and records are written without a tree

Records and messages are written straight into their text now, and an endpoint's request heads are encoded once.

--- a/include/teaselwalk/http/client.hpp
+++ b/include/teaselwalk/http/client.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace teaselwalk::http {
 
@@ -38,6 +39,22 @@
   Response Message;
 };
 
+/// The head of requests to one peer that differ in their bodies only. Encoded
+/// once.
+class RequestHead {
+public:
+  /// The body of \p Message, whose method is one with a body, is left out.
+  RequestHead(const protocol::Address &Peer, const Request &Message);
+
+  const protocol::Address &peer() const { return Peer; }
+  /// Head and \p Body as sent.
+  std::string with(const std::string &Body) const;
+
+private:
+  protocol::Address Peer;
+  std::string Text; ///< Up to the value of `Content-Length`.
+};
+
 /// HTTP/1.1 client with one thread: the one that calls `run()`. Connections
 /// are kept open and reused. A request that failed on a reused connection
 /// before any byte of an answer is Lost and never sent again by the client.
@@ -66,6 +83,10 @@
   void send(const protocol::Address &Peer, const Request &Message,
             Duration Timeout, Callback Done, PeerKind Kind = PeerKind::Service);
 
+  /// The same for a request with \p Head.
+  void send(const RequestHead &Head, const std::string &Body, Duration Timeout,
+            Callback Done, PeerKind Kind = PeerKind::Service);
+
   /// Works until `stop()`.
   void run();
   void stop();
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -7,7 +7,7 @@
   g++ cmake ninja-build make ccache clang-format clang-tidy curl jq
   libcaf-dev libjsonrpccpp-dev libjsoncpp-dev libcurl4-openssl-dev
   libmicrohttpd-dev libtoml11-dev librapidcheck-dev libdocopt-dev
-  liblog4cplus-dev nlohmann-json3-dev libboost-dev libxxhash-dev
+  liblog4cplus-dev nlohmann-json3-dev rapidjson-dev libboost-dev libxxhash-dev
   libssl-dev libgtest-dev libbenchmark-dev
 )
 
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -1,12 +1,14 @@
 #include "teaselwalk/cell/job_progress.hpp"
 
 #include "teaselwalk/base/error.hpp"
+#include "teaselwalk/base/json_text.hpp"
 #include "teaselwalk/cell/record_fields.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 
 namespace teaselwalk::cell {
 namespace {
@@ -20,74 +22,89 @@
 /// Elements of the pair that stands for a run of equal tasks.
 constexpr size_t PairSize = 2;
 
-Json encodeSuspected(const TaskProgress &Task) {
-  Json Rows = Json::array();
+void encodeSuspected(JsonText &Out, const TaskProgress &Task) {
+  Out.beginArray();
   for (const SuspectedCrash &Each : Task.SuspectedCrashes)
-    Rows.push_back({Each.Endpoint.str(), Each.IncarnationMs, Each.Attempt,
-                    Each.HasCommonCause});
-  return Rows;
+    Out.beginArray()
+        .text(Each.Endpoint.str())
+        .integer(Each.IncarnationMs)
+        .integer(Each.Attempt)
+        .boolean(Each.HasCommonCause)
+        .endArray();
+  Out.endArray();
 }
 
-/// In a record, a task is 0 (never assigned), 1 (done) or an array of attempt,
-/// failures, endpoint (empty unless the task may run there), checkpoint (empty:
-/// none), crashes, incarnation of the endpoint and suspected crashes, each as
-/// endpoint, incarnation, attempt and whether it has a common cause with
-/// others. Values at the end that are empty or 0 are left out.
-Json encodeTask(const TaskProgress &Task, bool WithCheckpoint) {
+/// The number that stands for \p Task in a record: 0 (never assigned) or 1
+/// (done). Nothing if the task has an array.
+std::optional<int> numberOf(const TaskProgress &Task) {
   if (Task.Phase == TaskPhase::Done)
     return 1;
   if (Task.Attempt == 0)
     return 0;
+  return std::nullopt;
+}
+
+/// In a record, any other task is an array of attempt, failures, endpoint
+/// (empty unless the task may run there), checkpoint (empty: none), crashes,
+/// incarnation of the endpoint and suspected crashes, each as endpoint,
+/// incarnation, attempt and whether it has a common cause with others. Values
+/// at the end that are empty or 0 are left out.
+void encodeTask(JsonText &Out, const TaskProgress &Task, bool WithCheckpoint) {
   bool MayRun = Task.Phase != TaskPhase::Waiting;
-  Json Row = {Task.Attempt, Task.Failures, MayRun ? Task.AssignedTo.str() : ""};
   int64_t IncarnationMs = MayRun ? Task.IncarnationMs : 0;
   bool IsSuspected = !Task.SuspectedCrashes.empty();
   bool HasIncarnation = IncarnationMs != 0 || IsSuspected;
   bool HasCrashes = Task.Crashes != 0 || HasIncarnation;
-  std::string Checkpoint = WithCheckpoint ? Task.Checkpoint : "";
-  if (!Checkpoint.empty() || HasCrashes)
-    Row.push_back(std::move(Checkpoint));
+  bool HasCheckpoint = WithCheckpoint && !Task.Checkpoint.empty();
+  Out.beginArray().integer(Task.Attempt).integer(Task.Failures);
+  Out.text(MayRun ? Task.AssignedTo.str() : "");
+  if (HasCheckpoint || HasCrashes)
+    Out.text(HasCheckpoint ? Task.Checkpoint : "");
   if (HasCrashes)
-    Row.push_back(Task.Crashes);
+    Out.integer(Task.Crashes);
   if (HasIncarnation)
-    Row.push_back(IncarnationMs);
+    Out.integer(IncarnationMs);
   if (IsSuspected)
-    Row.push_back(encodeSuspected(Task));
-  return Row;
+    encodeSuspected(Out, Task);
+  Out.endArray();
 }
 
 /// A run of tasks that are all 0 or all 1 is a pair of this number and the
 /// length of the run.
-void appendRun(Json &Tasks, int Value, size_t Length) {
+void encodeRun(JsonText &Out, int Value, size_t Length) {
   if (Length >= MinPairLength) {
-    Tasks.push_back(Json::array({Value, Length}));
+    Out.beginArray()
+        .integer(Value)
+        .integer(static_cast<int64_t>(Length))
+        .endArray();
     return;
   }
   for (size_t I = 0; I < Length; ++I)
-    Tasks.push_back(Value);
+    Out.integer(Value);
 }
 
-Json encodeTasks(const std::vector<TaskProgress> &Tasks, bool WithCheckpoints) {
-  Json Rows = Json::array();
+void encodeTasks(JsonText &Out, const std::vector<TaskProgress> &Tasks,
+                 bool WithCheckpoints) {
+  Out.beginArray();
   int RunValue = 0;
   size_t RunLength = 0;
   for (const TaskProgress &Task : Tasks) {
-    Json Row = encodeTask(Task, WithCheckpoints);
-    if (Row.is_number() && Row == RunValue) {
+    std::optional<int> Number = numberOf(Task);
+    if (Number == RunValue) {
       ++RunLength;
       continue;
     }
-    appendRun(Rows, RunValue, RunLength);
+    encodeRun(Out, RunValue, RunLength);
     RunLength = 0;
-    if (Row.is_number()) {
-      RunValue = Row;
+    if (Number) {
+      RunValue = *Number;
       RunLength = 1;
     } else {
-      Rows.push_back(std::move(Row));
+      encodeTask(Out, Task, WithCheckpoints);
     }
   }
-  appendRun(Rows, RunValue, RunLength);
-  return Rows;
+  encodeRun(Out, RunValue, RunLength);
+  Out.endArray();
 }
 
 int32_t countIn(const Json &Value, const char *Name) {
@@ -297,27 +314,29 @@
     --End;
     --Next;
   }
-  Json Open = Json::array();
-  Json Rows = Json::array();
-  for (auto It = Occurrences.begin(); It != End; ++It) {
-    Json Steps = Json::array();
-    for (const StepProgress &Step : It->second.Steps)
-      Steps.push_back(encodeTasks(Step.Tasks, StoresCheckpoints));
-    Open.push_back(It->first);
-    Rows.push_back(std::move(Steps));
-  }
-  Json Document = {{"status", static_cast<int>(Status)}, {"version", Version}};
+  JsonText Out;
+  Out.beginObject().key("status").integer(static_cast<int64_t>(Status));
+  Out.key("version").integer(Version);
   if (IsStarted)
-    Document["started"] = true;
+    Out.key("started").boolean(true);
   if (EndedMs != 0)
-    Document["ended"] = EndedMs;
+    Out.key("ended").integer(EndedMs);
   if (Spec.Repetitions > 0) {
-    Document["open"] = std::move(Open);
-    Document["next"] = Next;
+    Out.key("next").integer(Next).key("open").beginArray();
+    for (auto It = Occurrences.begin(); It != End; ++It)
+      Out.integer(It->first);
+    Out.endArray();
   }
   // An ended job needs its tasks too: a later owner stops those that still run.
-  Document["tasks"] = std::move(Rows);
-  return Document.dump();
+  Out.key("tasks").beginArray();
+  for (auto It = Occurrences.begin(); It != End; ++It) {
+    Out.beginArray();
+    for (const StepProgress &Step : It->second.Steps)
+      encodeTasks(Out, Step.Tasks, StoresCheckpoints);
+    Out.endArray();
+  }
+  Out.endArray().endObject();
+  return Out.take();
 }
 
 void JobProgress::restore(const std::string &Text) {
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -25,6 +25,14 @@
 constexpr Duration LateAnswerGrace{100};
 constexpr size_t ReceiveBufferBytes = 65536;
 
+Exchange exchangeOf(std::string Text, Duration Timeout, Client::Callback Done) {
+  Exchange Job;
+  Job.Text = std::move(Text);
+  Job.Deadline = SteadyClock::now() + Timeout;
+  Job.Done = std::move(Done);
+  return Job;
+}
+
 } // namespace
 
 class Client::Impl {
@@ -372,11 +380,15 @@
 
 void Client::send(const Address &Peer, const Request &Message, Duration Timeout,
                   Callback Done, PeerKind Kind) {
-  Exchange Job;
-  Job.Text = encodeRequest(Peer, Message);
-  Job.Deadline = SteadyClock::now() + Timeout;
-  Job.Done = std::move(Done);
-  State->submit(Peer, Kind, std::move(Job));
+  State->submit(Peer, Kind,
+                exchangeOf(encodeRequest(Peer, Message), Timeout,
+                           std::move(Done)));
+}
+
+void Client::send(const RequestHead &Head, const std::string &Body,
+                  Duration Timeout, Callback Done, PeerKind Kind) {
+  State->submit(Head.peer(), Kind,
+                exchangeOf(Head.with(Body), Timeout, std::move(Done)));
 }
 
 void Client::run() { State->run(); }
--- a/src/teaselwalk/http/wire.cpp
+++ b/src/teaselwalk/http/wire.cpp
@@ -1,5 +1,7 @@
 #include "wire.hpp"
 
+#include "teaselwalk/http/client.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
@@ -21,6 +23,8 @@
 /// Room for the head of a request, so that writing it allocates once.
 constexpr size_t UsualHeadBytes = 512;
 constexpr int FirstFinalStatus = 200;
+constexpr std::string_view LengthField = "Content-Length: ";
+constexpr std::string_view EndOfHead = "\r\n\r\n";
 
 } // namespace
 
@@ -54,6 +58,26 @@
   return Out;
 }
 
+RequestHead::RequestHead(const protocol::Address &To, const Request &Message)
+    : Peer(To) {
+  Request Empty = Message;
+  Empty.Body.clear();
+  Text = encodeRequest(Peer, Empty);
+  // The length is the last field, as it is added last.
+  Text.resize(Text.rfind(LengthField) + LengthField.size());
+}
+
+std::string RequestHead::with(const std::string &Body) const {
+  std::string Length = std::to_string(Body.size());
+  std::string Out;
+  Out.reserve(Text.size() + Length.size() + EndOfHead.size() + Body.size());
+  Out += Text;
+  Out += Length;
+  Out += EndOfHead;
+  Out += Body;
+  return Out;
+}
+
 void ResponseReader::reset(size_t MaxBody) {
   MaxBodyBytes = MaxBody;
   Pending.clear();
--- a/src/teaselwalk/http/wire_test.cpp
+++ b/src/teaselwalk/http/wire_test.cpp
@@ -1,5 +1,7 @@
 #include "wire.hpp"
 
+#include "teaselwalk/http/client.hpp"
+
 #include <gtest/gtest.h>
 
 #include <random>
@@ -153,5 +155,17 @@
   }
 }
 
+// Guards against requests that differ from those that are encoded as a whole.
+TEST(RequestHeadTest, EncodesLikeAWholeRequest) {
+  protocol::Address Peer{"10.0.0.1", 81};
+  Request Message{"POST", "/hold"};
+  Message.Headers.emplace_back("Expected-Instance", "e1");
+  RequestHead Head(Peer, Message);
+  for (const char *Body : {"{\"run\":1}", "", "Content-Length: 7\r\n\r\n"}) {
+    Message.Body = Body;
+    EXPECT_EQ(Head.with(Body), encodeRequest(Peer, Message));
+  }
+}
+
 } // namespace
 } // namespace teaselwalk::http
