--- a/include/teaselwalk/cell/advice_search.hpp
+++ b/include/teaselwalk/cell/advice_search.hpp
@@ -46,9 +46,9 @@
         Now(Now) {}
 
   AdviceSearchResult findAll() const;
-  /// Finds those that the service has allowed and \p Enough others with the
-  /// lowest scores, or all if there are fewer. For a score that is the free CPU
-  /// or more. Does not look at endpoints that are emptier than needed.
+  /// Finds those that the service has allowed and \p Enough of the fullest
+  /// others, or all if there are fewer. For a score that is the free CPU or
+  /// more.
   AdviceSearchResult findBest(size_t Enough) const;
   /// True if an endpoint with a later gain than \p Gain is a candidate. Adds to
   /// the other members of \p Result.
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -143,18 +143,20 @@
   /// To be called after each change of the capacity or of `Reserved`.
   void updateRoom(const TrackedEndpoint &Endpoint);
 
+  /// Endpoints whose free CPU differs by less than this, in thousandths of a
+  /// processor, are equally full.
+  static constexpr int64_t RoomStep = 1000;
+
   /// Visits the endpoints with at least \p MilliCpu of free CPU, and some with
-  /// a little less, from the fullest to the emptiest in classes of `RoomStep`.
-  /// After each class \p GoesOn is asked, with the least free CPU of those that
-  /// follow, whether to visit them too.
-  template <typename Visitor, typename Condition>
-  void visitByRoom(int64_t MilliCpu, Visitor Visit, Condition GoesOn) {
-    for (size_t Class = roomClassOf(MilliCpu); Class < ByRoom.size(); ++Class) {
+  /// a little less, from the fullest to the emptiest, until \p Visit returns
+  /// false. It is told the least free CPU of those that are as full as the
+  /// visited one.
+  template <typename Visitor>
+  void visitByRoom(int64_t MilliCpu, Visitor Visit) {
+    for (size_t Class = roomClassOf(MilliCpu); Class < ByRoom.size(); ++Class)
       for (size_t Row : ByRoom[Class])
-        Visit(Rows[Row]);
-      if (!GoesOn(static_cast<int64_t>(Class + 1) * RoomStep))
-        return;
-    }
+        if (!Visit(Rows[Row], static_cast<int64_t>(Class) * RoomStep))
+          return;
   }
 
   /// Records that \p Endpoint may have become a candidate for steps that found
@@ -166,7 +168,6 @@
   uint64_t latestGain() const { return LatestGain; }
 
 private:
-  static constexpr int64_t RoomStep = 1000; ///< In thousandths of a processor.
   static constexpr size_t RoomClasses = 256;
 
   static size_t roomClassOf(int64_t MilliCpu);
--- a/src/teaselwalk/cell/advice_search.cpp
+++ b/src/teaselwalk/cell/advice_search.cpp
@@ -29,26 +29,17 @@
     if (Found != Table.end() && isAllowed(Found->second))
       examine(Table.rows()[Found->second.Row], Result);
   }
-  size_t Allowed = Result.Candidates.size();
-  Table.visitByRoom(
-      Step.Need.MilliCpu,
-      [&](EndpointTable::Row &Row) {
-        if (!fits(Step.Need, Row.Free) || isAllowed(*Row.Endpoint))
-          return;
-        examine(Row, Result);
-      },
-      [&](int64_t LeastFreeCpu) {
-        if (Result.Candidates.size() - Allowed < Enough)
-          return true;
-        // A candidate with a penalty may be worse than one that follows.
-        auto First =
-            Result.Candidates.begin() + static_cast<std::ptrdiff_t>(Allowed);
-        auto Best = std::count_if(
-            First, Result.Candidates.end(), [&](const AdviceCandidate &Next) {
-              return Next.Score < static_cast<double>(LeastFreeCpu);
-            });
-        return static_cast<size_t>(Best) < Enough;
-      });
+  size_t Best = 0;
+  Table.visitByRoom(Step.Need.MilliCpu, [&](EndpointTable::Row &Row,
+                                            int64_t LeastFreeCpu) {
+    if (!fits(Step.Need, Row.Free) || isAllowed(*Row.Endpoint) ||
+        !examine(Row, Result))
+      return true;
+    // A candidate with a penalty may be worse than one that follows.
+    double Limit = static_cast<double>(LeastFreeCpu + EndpointTable::RoomStep);
+    Best += Result.Candidates.back().Score < Limit ? 1 : 0;
+    return Best < Enough;
+  });
   return Result;
 }
 
