cell: late work stands last and waits while the scheduler lags

What callers saw: on the large site, on a slower processor, almost no job of the quick class is in time from a burst on, although as many tasks are started as before it. Cause: steps and requests for advice went by objective, the earliest first, so jobs that could no longer be in time stood before those that could and made them late too; a pass looked at the whole backlog and the next one waited for four times its length.

Now a step that cannot end by its objective comes after those that can, also in the queue of the dispatcher, and is left alone while timers run late, which shows that work waits for the processor. The lag counts as part of the time that a task takes.

Tried and reverted: a longer pause between renewals while the scheduler lags, so that an answer reports more ends.

--- a/include/teaselwalk/cell/advice_dispatcher.hpp
+++ b/include/teaselwalk/cell/advice_dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,7 @@
   /// Time that the service is expected to take.
   Duration Expected{0};
   bool IsOverRate = false; ///< Sent after all requests that are not over rate.
+  bool IsLate = false;     ///< Sent after those that are not late either.
   TimePoint Deadline;      ///< Earlier deadlines are sent first.
   /// Returns the endpoints to ask about. Called when the request is sent, which
   /// may be long after it was handed in. If there are none, the request is
@@ -64,12 +66,13 @@
     int32_t UnansweredCalls = 0; ///< Calls that were not answered.
   };
 
-  /// Waiting requests in the order in which they are sent: whether over rate,
-  /// then by deadline.
-  using Queue = std::multimap<std::pair<bool, TimePoint>, Entry>;
+  /// Whether over rate, whether late, and the deadline.
+  using Order = std::tuple<bool, bool, TimePoint>;
+  /// Waiting requests in the order in which they are sent.
+  using Queue = std::multimap<Order, Entry>;
 
   void dispatch();
-  void enqueue(std::pair<bool, TimePoint> Order, Entry Next);
+  void enqueue(const Order &At, Entry Next);
   void noteOutcome(Route &Used, AdviceOutcome Outcome) const;
   std::shared_ptr<Route> freeRoute(bool IsLong);
   void send(const std::shared_ptr<Route> &Free, Entry Next);
--- a/include/teaselwalk/cell/job.hpp
+++ b/include/teaselwalk/cell/job.hpp
@@ -102,6 +102,10 @@
 /// the owner keeps the progress of each open one in memory.
 constexpr size_t MaxTasksPerOccurrence = 64000;
 
+/// For each step, the sum of the estimates on the longest chain of dependent
+/// steps that begins with it.
+std::vector<Duration> chainsFrom(const JobSpec &Job);
+
 /// Sum of the estimates on the longest chain of dependent steps.
 Duration longestChain(const JobSpec &Job);
 
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -102,7 +102,9 @@
   /// bundles; 0: none.
   int64_t SeparateVersion = 0;
   TimePoint AcceptedAt;
-  TimePoint Objective;       ///< Latest completion that is on time.
+  TimePoint Objective; ///< Latest completion that is on time.
+  /// Declared time of each step and of those that depend on it.
+  const std::vector<Duration> ChainFrom;
   int32_t ReservedTasks = 0; ///< Tasks that hold room on an endpoint.
   /// The starts of isolated tasks will be tried again.
   bool IsStartPostponed = false;
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -12,6 +12,7 @@
 #include "teaselwalk/cell/open_jobs.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
+#include "teaselwalk/cell/scheduler_lag.hpp"
 #include "teaselwalk/cell/scheduling_pass.hpp"
 #include "teaselwalk/cell/start_window.hpp"
 #include "teaselwalk/cell/step_advice.hpp"
@@ -309,14 +310,30 @@
   void drainEndpoint(TrackedEndpoint &Endpoint);
 
   // owner_placement.cpp
+  /// Requests a pass over the whole backlog.
   void requestSchedulingPass();
+  /// Requests a look at one step, for which something has changed. Does not
+  /// wait for a long backlog.
+  void requestStepPass(const StepKey &Key);
+  /// Looks at the whole backlog, as far as the time of one pass allows.
   void runSchedulingPass();
+  /// Looks at the steps in `ChangedSteps`.
+  void runStepPass();
+  /// Places \p Steps from \p From on. Returns the first for which the time of
+  /// the pass was too short.
+  std::vector<BacklogStep>::const_iterator
+  placeSteps(const std::vector<BacklogStep> &Steps,
+             std::vector<BacklogStep>::const_iterator From);
   void updateDueJobs();
   void addReadySteps(JobProgress &Job);
   void closeEndedOccurrences(JobProgress &Job);
   /// Drops the steps of one occurrence from the backlog, with their advice.
   void forgetSteps(const JobProgress &Job, int32_t Occurrence);
-  std::vector<BacklogStep> collectBacklog();
+  /// The steps that may be placed now, in order. Drops others of \p Keys.
+  std::vector<BacklogStep> collectBacklog(std::set<StepKey> &Keys);
+  /// True if the job probably cannot end by its objective if \p Key is placed
+  /// now.
+  bool isLate(const JobProgress &Job, const StepKey &Key) const;
   void placeStep(const BacklogStep &Next);
   /// The endpoints of \p Service on which tasks may start in this pass.
   const std::vector<TrackedEndpoint *> &
@@ -349,7 +366,8 @@
   AdviceNeed adviceNeed(const JobProgress &Job, const StepKey &Key) const;
   /// Chooses the endpoints that a request about \p Key names and claims room
   /// there. Returns none if the step needs no tickets any more.
-  std::vector<EndpointId> claimCandidates(const StepKey &Key);
+  /// \p WasLate: the job was late when the request was handed in.
+  std::vector<EndpointId> claimCandidates(const StepKey &Key, bool WasLate);
   std::vector<AdviceCandidate> adviceCandidates(const JobProgress &Job,
                                                 const StepKey &Key,
                                                 const AdviceNeed &Need,
@@ -446,6 +464,13 @@
   int ContactsThen = 0;    ///< First renewals that are due at that time.
   LoadTimes Loading;       ///< Of the state that is read after the claim.
   bool IsLoaded = false;
+  /// Steps to look at before the next pass over the whole backlog.
+  std::set<StepKey> ChangedSteps;
+  bool IsStepPassRequested = false;
+  Duration LastStepPassTime{0};
+  /// Where the time of the latest pass was over, and the next one goes on.
+  std::optional<BacklogStep> NextToPlace;
+  SchedulerLag Lag;
   bool IsPassRequested = false;
   TimePoint NextPassAt; ///< When the requested pass is due.
   bool IsWriteRequested = false;
--- a/include/teaselwalk/cell/scheduling_pass.hpp
+++ b/include/teaselwalk/cell/scheduling_pass.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -15,10 +16,19 @@
 struct BacklogStep {
   JobProgress *Job = nullptr;
   StepKey Key;
-  int32_t Priority = 0;
   bool IsWorthless = false; ///< So late that its result has no value.
   bool IsOverRate = false;  ///< Submitted beyond the rate of its team.
+  bool IsLate = false;      ///< Cannot end by its objective any more.
+  int32_t Priority = 0;
   TimePoint Objective;
+
+  /// The order in which steps are placed.
+  friend bool operator<(const BacklogStep &A, const BacklogStep &B) {
+    return std::tie(A.IsWorthless, A.IsOverRate, A.IsLate, A.Priority,
+                    A.Objective, A.Key) < std::tie(B.IsWorthless, B.IsOverRate,
+                                                   B.IsLate, B.Priority,
+                                                   B.Objective, B.Key);
+  }
 };
 
 /// What one scheduling pass has found out. Room only shrinks in a pass.
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -43,14 +43,14 @@
 }
 
 void AdviceDispatcher::ask(AdviceRequest Asked, Callback Done) {
-  std::pair<bool, TimePoint> Order{Asked.IsOverRate, Asked.Deadline};
-  enqueue(Order, {std::move(Asked), std::move(Done), Clock.now(), 0});
+  Order At{Asked.IsOverRate, Asked.IsLate, Asked.Deadline};
+  enqueue(At, {std::move(Asked), std::move(Done), Clock.now(), 0});
   dispatch();
 }
 
-void AdviceDispatcher::enqueue(std::pair<bool, TimePoint> Order, Entry Next) {
+void AdviceDispatcher::enqueue(const Order &At, Entry Next) {
   bool IsLong = Next.Asked.Expected > LongAdviceRequest;
-  Waiting[IsLong].emplace(Order, std::move(Next));
+  Waiting[IsLong].emplace(At, std::move(Next));
 }
 
 std::shared_ptr<AdviceDispatcher::Route>
@@ -131,7 +131,7 @@
         Log.time("advice_call", Clock.now() - SentAt);
         if (Result.Outcome == AdviceOutcome::Unknown &&
             ++Sent->UnansweredCalls <= MaxUnansweredCalls)
-          enqueue({false, TimePoint::min()}, std::move(*Sent));
+          enqueue({false, false, TimePoint::min()}, std::move(*Sent));
         else
           Sent->Done(Asked, Result);
         dispatch();
--- a/src/teaselwalk/cell/job.cpp
+++ b/src/teaselwalk/cell/job.cpp
@@ -161,15 +161,22 @@
   return Count;
 }
 
+std::vector<Duration> chainsFrom(const JobSpec &Job) {
+  std::vector<Duration> Chains(Job.Steps.size(), Duration(0));
+  for (size_t I = Job.Steps.size(); I-- > 0;) {
+    Chains[I] += Job.Steps[I].Estimate;
+    for (int32_t Earlier : Job.Steps[I].After) {
+      Duration &Before = Chains[static_cast<size_t>(Earlier)];
+      Before = std::max(Before, Chains[I]);
+    }
+  }
+  return Chains;
+}
+
 Duration longestChain(const JobSpec &Job) {
-  std::vector<Duration> EndOf(Job.Steps.size(), Duration(0));
   Duration Longest{0};
-  for (size_t I = 0; I < Job.Steps.size(); ++I) {
-    for (int32_t Earlier : Job.Steps[I].After)
-      EndOf[I] = std::max(EndOf[I], EndOf[static_cast<size_t>(Earlier)]);
-    EndOf[I] += Job.Steps[I].Estimate;
-    Longest = std::max(Longest, EndOf[I]);
-  }
+  for (Duration Chain : chainsFrom(Job))
+    Longest = std::max(Longest, Chain);
   return Longest;
 }
 
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -185,7 +185,8 @@
   return Found == SuspectedCrashes.end() ? nullptr : &*Found;
 }
 
-JobProgress::JobProgress(JobSpec Given) : Spec(std::move(Given)) {
+JobProgress::JobProgress(JobSpec Given)
+    : Spec(std::move(Given)), ChainFrom(chainsFrom(Spec)) {
   if (Spec.Repetitions == 0)
     open(0);
 }
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -221,7 +221,10 @@
   Asked.Expected = adviceTime(Need, expectedEndpoints(Need));
   Asked.Deadline = Job.Objective;
   Asked.IsOverRate = Job.IsOverRate;
-  Asked.Candidates = [this, Key] { return claimCandidates(Key); };
+  Asked.IsLate = isLate(Job, Key);
+  Asked.Candidates = [this, Key, WasLate = Asked.IsLate] {
+    return claimCandidates(Key, WasLate);
+  };
   Advice.IsInFlight = true;
   Log.count("advice_asked");
   Dispatcher.ask(std::move(Asked),
@@ -231,12 +234,16 @@
                  }));
 }
 
-std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key) {
+std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key,
+                                               bool WasLate) {
   removeClaims(Key);
   const JobProgress *Job = jobOf(Key.Job);
   auto Found = StepAdvices.find(Key);
   if (Job == nullptr || Found == StepAdvices.end())
     return {};
+  // What became late while it waited for a route waits anew behind the others.
+  if (!WasLate && isLate(*Job, Key))
+    return {};
   AdviceNeed Need = adviceNeed(*Job, Key);
   StepAdvice &Advice = Found->second;
   if (Need.Tasks == 0 || !isSearchPromising(*Job, Key, Advice))
@@ -292,7 +299,7 @@
     return requestSchedulingPass();
   }
   recordAdvice(*Job, Advice, Asked, Result);
-  requestSchedulingPass();
+  requestStepPass(Key);
 }
 
 void Owner::recordAdvice(const JobProgress &Job, StepAdvice &Advice,
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
+#include <utility>
 
 namespace teaselwalk::cell {
 namespace {
@@ -22,6 +22,10 @@
 /// shows nothing about the endpoint.
 constexpr double MinPenalizedSlowness = 1.7;
 
+/// How often a task that is placed waits for the scheduler's thread: its record
+/// is stored, its start is answered, its end is read.
+constexpr int WaitsPerTask = 3;
+
 /// A job is worth nothing once it has taken this multiple of the time from its
 /// acceptance to its objective.
 constexpr int64_t WorthlessFactor = 3;
@@ -91,11 +95,13 @@
     if (Job.Spec.Repetitions > 0 && Wall < Job.dueMs(Number))
       return;
     for (size_t S = 0; S < Job.Spec.Steps.size(); ++S)
-      if (Occurrence.Steps[S].Waiting > 0 && Job.isReady(Occurrence, S))
-        Backlog.insert({Job.Spec.Id, Number, static_cast<int32_t>(S)});
+      if (Occurrence.Steps[S].Waiting > 0 && Job.isReady(Occurrence, S)) {
+        StepKey Key{Job.Spec.Id, Number, static_cast<int32_t>(S)};
+        if (Backlog.insert(Key).second)
+          requestStepPass(Key);
+      }
   }
   Job.AreAllDue = Job.NextOccurrence == Job.Spec.occurrences();
-  requestSchedulingPass();
 }
 
 void Owner::closeEndedOccurrences(JobProgress &Job) {
@@ -107,61 +113,124 @@
   for (size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
     StepKey Key{Job.Spec.Id, Occurrence, static_cast<int32_t>(S)};
     Backlog.erase(Key);
+    ChangedSteps.erase(Key);
     StepAdvices.erase(Key);
   }
 }
 
-std::vector<BacklogStep> Owner::collectBacklog() {
+bool Owner::isLate(const JobProgress &Job, const StepKey &Key) const {
+  auto Step = static_cast<size_t>(Key.Step);
+  // Repetitions and services have no objective.
+  if (Job.Spec.Repetitions > 0 || Job.Spec.Steps[Step].Service)
+    return false;
+  return Clock.now() + Job.ChainFrom[Step] + Lag.typical() * WaitsPerTask >
+         Job.Objective;
+}
+
+std::vector<BacklogStep> Owner::collectBacklog(std::set<StepKey> &Keys) {
   std::vector<BacklogStep> Result;
   TimePoint Now = Clock.now();
-  for (auto It = Backlog.begin(); It != Backlog.end();) {
+  for (auto It = Keys.begin(); It != Keys.end();) {
     JobProgress *Job = jobOf(It->Job);
     bool IsWaiting =
         Job != nullptr && !Job->isEnded() &&
         Job->stateOf({It->Job, It->Occurrence, It->Step, 0}).Waiting > 0;
     if (!IsWaiting) {
-      It = Backlog.erase(It);
+      It = Keys.erase(It);
       continue;
     }
     if (Job->SetAsideUntil > Now) {
       ++It;
       continue;
     }
-    BacklogStep Next{
-        Job,           *It, policyOf(*Job).Priority, false, Job->IsOverRate,
-        Job->Objective};
+    BacklogStep Next;
+    Next.Job = Job;
+    Next.Key = *It;
+    Next.IsOverRate = Job->IsOverRate;
+    Next.IsLate = isLate(*Job, *It);
+    Next.Priority = policyOf(*Job).Priority;
+    Next.Objective = Job->Objective;
     Duration Allowed = Job->Objective - Job->AcceptedAt;
     bool IsService = Job->Spec.Steps[static_cast<size_t>(It->Step)].Service;
     Next.IsWorthless =
         !IsService && Now > Job->Objective + Allowed * (WorthlessFactor - 1);
-    Result.push_back(Next);
+    Result.push_back(std::move(Next));
     ++It;
   }
-  std::sort(Result.begin(), Result.end(),
-            [](const BacklogStep &A, const BacklogStep &B) {
-              return std::tie(A.IsWorthless, A.IsOverRate, A.Priority,
-                              A.Objective,
-                              A.Key) < std::tie(B.IsWorthless, B.IsOverRate,
-                                                B.Priority, B.Objective, B.Key);
-            });
+  std::sort(Result.begin(), Result.end());
   return Result;
 }
 
-void Owner::runSchedulingPass() {
+std::vector<BacklogStep>::const_iterator
+Owner::placeSteps(const std::vector<BacklogStep> &Steps,
+                  std::vector<BacklogStep>::const_iterator From) {
   Pass = {};
   Pass.OverdueStarts = countOverdueStarts();
-  std::vector<BacklogStep> Steps = collectBacklog();
-  Log.count("scheduling_passes");
-  Log.count("steps_considered", static_cast<int64_t>(Steps.size()));
-  for (const BacklogStep &Next : Steps) {
-    // A placement that may not be followed by a start would be given back after
-    // it is stored, and made again.
-    if (!isDesiredStateFresh() || isStartLimitReached())
+  TimePoint End = Clock.now() + MaxPassTime;
+  auto Next = From;
+  // A placement that may not be followed by a start would be given back after
+  // it is stored, and made again.
+  for (; Next != Steps.end() && Clock.now() < End; ++Next) {
+    if (!isDesiredStateFresh() || isStartLimitReached()) {
+      Next = Steps.end();
       break;
-    placeStep(Next);
+    }
+    // What can no longer be in time is left for when there is time for it.
+    if (Next->IsLate && Lag.isShort())
+      continue;
+    Log.count("steps_considered");
+    placeStep(*Next);
   }
   Pass = {};
   writeChanged();
+  return Next;
+}
+
+void Owner::runSchedulingPass() {
+  Log.count("scheduling_passes");
+  ChangedSteps.clear();
+  std::vector<BacklogStep> Steps = collectBacklog(Backlog);
+  // A pass that was too short for the backlog is continued.
+  auto From = NextToPlace
+                  ? std::lower_bound(Steps.cbegin(), Steps.cend(), *NextToPlace)
+                  : Steps.cbegin();
+  auto Next = placeSteps(Steps, From);
+  NextToPlace.reset();
+  if (Next == Steps.cend())
+    return;
+  NextToPlace = *Next;
+  NextToPlace->Job = nullptr;
+  requestSchedulingPass();
+}
+
+void Owner::requestStepPass(const StepKey &Key) {
+  ChangedSteps.insert(Key);
+  if (LastPassTime * PassTimeFactor <= PassDelay)
+    return requestSchedulingPass();
+  if (IsStepPassRequested || !IsLoaded)
+    return;
+  IsStepPassRequested = true;
+  Duration Delay = std::max(PassDelay, LastStepPassTime);
+  Clock.after(Delay, guarded([this] {
+                IsStepPassRequested = false;
+                TimePoint Start = Clock.now();
+                runStepPass();
+                LastStepPassTime = Clock.now() - Start;
+                Log.time("step_pass", LastStepPassTime);
+              }));
+}
+
+void Owner::runStepPass() {
+  if (ChangedSteps.empty())
+    return;
+  Log.count("step_passes");
+  std::set<StepKey> Keys = std::exchange(ChangedSteps, {});
+  std::vector<BacklogStep> Steps = collectBacklog(Keys);
+  auto Next = placeSteps(Steps, Steps.cbegin());
+  for (; Next != Steps.cend(); ++Next)
+    ChangedSteps.insert(Next->Key);
+  if (!ChangedSteps.empty())
+    requestStepPass(*ChangedSteps.begin());
 }
 
 void Owner::placeStep(const BacklogStep &Next) {
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -25,7 +25,10 @@
 }
 
 void Owner::renewLater(const EndpointId &Id, Duration Delay) {
-  Clock.after(Delay, guarded([this, Id] { renew(Id, true); }));
+  Clock.after(Delay, guarded([this, Id, Due = Clock.now() + Delay] {
+                Lag.record(Clock.now() - Due);
+                renew(Id, true);
+              }));
 }
 
 void Owner::renew(const EndpointId &Id, bool IsLongPoll) {
