cell: tasks without advice look only at endpoints that are full enough

Each such task looked at every usable endpoint, and each pass checked all endpoints for it: the same belief as in the plans of advice requests. The table's classes of free CPU give the fullest ones first.

base: the members of SharedText are not inline, as GCC 12 takes the pointer of a temporary for uninitialised.

--- a/include/teaselwalk/base/shared_text.hpp
+++ b/include/teaselwalk/base/shared_text.hpp
@@ -11,8 +11,14 @@
 /// different threads.
 class SharedText {
 public:
-  SharedText() = default; ///< The empty text.
+  SharedText(); ///< The empty text.
   explicit SharedText(std::string Value);
+  // Not inline: GCC 12 takes the pointer of a temporary for uninitialised.
+  ~SharedText();
+  SharedText(const SharedText &Other);
+  SharedText(SharedText &&Other) noexcept;
+  SharedText &operator=(const SharedText &Other);
+  SharedText &operator=(SharedText &&Other) noexcept;
 
   const std::string &str() const;
   bool empty() const { return Shared == nullptr; }
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -335,9 +335,6 @@
   /// now.
   bool isLate(const JobProgress &Job, const StepKey &Key) const;
   void placeStep(const BacklogStep &Next);
-  /// The endpoints of \p Service on which tasks may start in this pass.
-  const std::vector<TrackedEndpoint *> &
-  usableEndpoints(const std::string &Service);
   /// True if a task that needs no more than \p Need found no room in this pass.
   bool hasFailedInPass(const std::string &Service, const Resources &Need) const;
   TrackedEndpoint *chooseEndpoint(const JobProgress &Job, const StepSpec &Step,
--- a/include/teaselwalk/cell/scheduling_pass.hpp
+++ b/include/teaselwalk/cell/scheduling_pass.hpp
@@ -33,7 +33,6 @@
 
 /// What one scheduling pass has found out. Room only shrinks in a pass.
 struct PassState {
-  std::unordered_map<std::string, std::vector<TrackedEndpoint *>> Usable;
   /// Needs for which no endpoint had room, by service.
   std::unordered_map<std::string, std::vector<Resources>> Failed;
   size_t OverdueStarts = 0; ///< Those in `OpenStarts` that do not count.
--- a/src/teaselwalk/base/shared_text.cpp
+++ b/src/teaselwalk/base/shared_text.cpp
@@ -5,6 +5,13 @@
 
 namespace teaselwalk {
 
+SharedText::SharedText() = default;
+SharedText::~SharedText() = default;
+SharedText::SharedText(const SharedText &Other) = default;
+SharedText::SharedText(SharedText &&Other) noexcept = default;
+SharedText &SharedText::operator=(const SharedText &Other) = default;
+SharedText &SharedText::operator=(SharedText &&Other) noexcept = default;
+
 SharedText::SharedText(std::string Value) {
   if (Value.empty())
     return;
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -292,17 +292,6 @@
     askAdvice(Job, Next.Key, *Advice);
 }
 
-const std::vector<TrackedEndpoint *> &
-Owner::usableEndpoints(const std::string &Service) {
-  auto [Found, IsNew] = Pass.Usable.try_emplace(Service);
-  TimePoint Now = Clock.now();
-  if (IsNew)
-    for (auto &[Id, Endpoint] : Table)
-      if (mayStartOn(Endpoint, Service, Now))
-        Found->second.push_back(&Endpoint);
-  return Found->second;
-}
-
 bool Owner::hasFailedInPass(const std::string &Service,
                             const Resources &Need) const {
   auto Failed = Pass.Failed.find(Service);
@@ -339,11 +328,21 @@
     BestScore = Score;
     Best = &Endpoint;
   };
+  TimePoint Now = Clock.now();
   if (Advice == nullptr) {
     if (hasFailedInPass(Service, Need))
       return nullptr;
-    for (TrackedEndpoint *Endpoint : usableEndpoints(Service))
-      Consider(*Endpoint);
+    // An opportunistic task prefers the emptiest endpoints.
+    Table.visitByRoom(
+        Need.MilliCpu, [&](EndpointTable::Row &Row, int64_t LeastFreeCpu) {
+          // None of those that follow has a lower score.
+          bool IsFound = !Step.Opportunistic && !IsSuspected &&
+                         BestScore <= static_cast<double>(LeastFreeCpu);
+          if (!IsFound && fits(Need, Row.Free) &&
+              mayStartOn(*Row.Endpoint, Service, Now))
+            Consider(*Row.Endpoint);
+          return !IsFound;
+        });
     // The places of a gang may be given back, so its failure shows nothing.
     bool IsGeneral = Step.RequiredLabel.empty() && !Step.Opportunistic &&
                      Step.MaxPerEndpoint == 0 && !Step.Gang && !IsSuspected;
@@ -351,7 +350,6 @@
       Pass.Failed[Service].push_back(Need);
     return Best;
   }
-  TimePoint Now = Clock.now();
   for (const auto &[Id, Known] : Advice->Endpoints) {
     if (!Known.IsAllowed || Known.ValidUntil <= Now)
       continue;
--- a/src/teaselwalk/http/client.cpp
+++ b/src/teaselwalk/http/client.cpp
@@ -380,9 +380,9 @@
 
 void Client::send(const Address &Peer, const Request &Message, Duration Timeout,
                   Callback Done, PeerKind Kind) {
-  State->submit(Peer, Kind,
-                exchangeOf(encodeRequest(Peer, Message), Timeout,
-                           std::move(Done)));
+  State->submit(
+      Peer, Kind,
+      exchangeOf(encodeRequest(Peer, Message), Timeout, std::move(Done)));
 }
 
 void Client::send(const RequestHead &Head, const std::string &Body,
