--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -4,6 +4,7 @@
 #include "teaselwalk/cell/crash_suspects.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -115,6 +116,8 @@
     /// The incarnation on which tasks could start when that was last checked;
     /// 0: none could.
     int64_t UsableIncarnationMs = 0;
+    size_t RoomClass = 0; ///< Index in `ByRoom`.
+    size_t Position = 0;  ///< Index in that class.
   };
 
   EndpointTable() = default;
@@ -138,9 +141,24 @@
   std::vector<Row> &rows() { return Rows; }
 
   /// To be called after each change of the capacity or of `Reserved`.
-  void updateRoom(const TrackedEndpoint &Endpoint) {
-    Rows[Endpoint.Row].Free = Endpoint.freeCapacity();
+  void updateRoom(const TrackedEndpoint &Endpoint);
+
+  /// Endpoints whose free CPU differs by less than this, in thousandths of a
+  /// processor, are equally full.
+  static constexpr int64_t RoomStep = 1000;
+
+  /// Visits the endpoints with at least \p MilliCpu of free CPU, and some with
+  /// a little less, from the fullest to the emptiest, until \p Visit returns
+  /// false. It is told the least free CPU of those that are as full as the
+  /// visited one.
+  template <typename Visitor>
+  void visitByRoom(int64_t MilliCpu, Visitor Visit) {
+    for (size_t Class = roomClassOf(MilliCpu); Class < ByRoom.size(); ++Class)
+      for (size_t Row : ByRoom[Class])
+        if (!Visit(Rows[Row], static_cast<int64_t>(Class) * RoomStep))
+          return;
   }
+
   /// Records that \p Endpoint may have become a candidate for steps that found
   /// none.
   void noteGain(const TrackedEndpoint &Endpoint) {
@@ -150,8 +168,16 @@
   uint64_t latestGain() const { return LatestGain; }
 
 private:
+  static constexpr size_t RoomClasses = 256;
+
+  static size_t roomClassOf(int64_t MilliCpu);
+  void addToClass(size_t Row);
+  void removeFromClass(size_t Row);
+
   Entries ById;
   std::vector<Row> Rows;
+  /// The rows by free CPU; the last class holds all with more.
+  std::array<std::vector<size_t>, RoomClasses> ByRoom;
   uint64_t LatestGain = 1;
 };
 
--- a/include/teaselwalk/cell/job.hpp
+++ b/include/teaselwalk/cell/job.hpp
@@ -102,6 +102,10 @@
 /// the owner keeps the progress of each open one in memory.
 constexpr size_t MaxTasksPerOccurrence = 64000;
 
+/// For each step, the sum of the estimates on the longest chain of dependent
+/// steps that begins with it.
+std::vector<Duration> chainsFrom(const JobSpec &Job);
+
 /// Sum of the estimates on the longest chain of dependent steps.
 Duration longestChain(const JobSpec &Job);
 
@@ -119,7 +123,7 @@
     size_t Mixed = static_cast<size_t>(Key.Occurrence) * 1000003U +
                    static_cast<size_t>(Key.Step) * 8191U +
                    static_cast<size_t>(Key.Index);
-    return hash<string>()(Key.Job.str()) ^ (Mixed * 0x9E3779B97F4A7C15ULL);
+    return Key.Job.hash() ^ (Mixed * 0x9E3779B97F4A7C15ULL);
   }
 };
 } // namespace std
--- a/src/teaselwalk/cell/advice_search.cpp
+++ b/src/teaselwalk/cell/advice_search.cpp
@@ -22,6 +22,33 @@
   return Result;
 }
 
+AdviceSearchResult AdviceSearch::findBest(size_t Enough) const {
+  AdviceSearchResult Result;
+  for (const auto &[Id, Known] : Advice.Endpoints) {
+    auto Found = Known.IsAllowed ? Table.find(Id) : Table.end();
+    if (Found != Table.end() && isAllowed(Found->second))
+      examine(Table.rows()[Found->second.Row], Result);
+  }
+  size_t Best = 0;
+  Table.visitByRoom(Step.Need.MilliCpu, [&](EndpointTable::Row &Row,
+                                            int64_t LeastFreeCpu) {
+    if (!fits(Step.Need, Row.Free) || isAllowed(*Row.Endpoint) ||
+        !examine(Row, Result))
+      return true;
+    // A candidate with a penalty may be worse than one that follows.
+    double Limit = static_cast<double>(LeastFreeCpu + EndpointTable::RoomStep);
+    Best += Result.Candidates.back().Score < Limit ? 1 : 0;
+    return Best < Enough;
+  });
+  return Result;
+}
+
+bool AdviceSearch::isAllowed(const TrackedEndpoint &Endpoint) const {
+  auto Known = Advice.Endpoints.find(Endpoint.Info.Id);
+  return Known != Advice.Endpoints.end() && Known->second.IsAllowed &&
+         Known->second.IncarnationMs == Endpoint.IncarnationMs;
+}
+
 bool AdviceSearch::findsAfter(uint64_t Gain, AdviceSearchResult &Result) const {
   std::vector<EndpointTable::Row> &Rows = Table.rows();
   return std::any_of(Rows.begin(), Rows.end(), [&](EndpointTable::Row &Row) {
--- a/src/teaselwalk/cell/advice_search_test.cpp
+++ b/src/teaselwalk/cell/advice_search_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -232,6 +233,69 @@
   EXPECT_GT(Named, static_cast<size_t>(TableCount)) << "the tables are trivial";
 }
 
+/// The emptiest endpoint of \p Named, in steps of `RoomStep`.
+int64_t emptiestOf(RandomTable &World, const std::vector<EndpointId> &Named) {
+  int64_t Emptiest = 0;
+  for (const EndpointId &Id : Named) {
+    int64_t Free = World.Table.find(Id)->second.freeCapacity().MilliCpu;
+    Emptiest = std::max(Emptiest, Free / EndpointTable::RoomStep);
+  }
+  return Emptiest;
+}
+
+size_t unknownIn(const std::vector<AdviceCandidate> &Candidates) {
+  return static_cast<size_t>(std::count_if(
+      Candidates.begin(), Candidates.end(),
+      [](const AdviceCandidate &Next) { return !Next.IsAllowed; }));
+}
+
+// Guards against a search that ends before it has found enough endpoints, or
+// the fullest ones.
+TEST(AdviceSearchTest, ASearchForEnoughFindsTheFullestEndpoints) {
+  int64_t Examined = 0;
+  int64_t ExaminedByAll = 0;
+  for (uint32_t Seed = 1; Seed <= TableCount; ++Seed) {
+    RandomTable World(Seed);
+    std::optional<size_t> Enough = sufficientCandidates(World.Need);
+    if (!Enough)
+      continue;
+    AdviceSearchResult Found = World.search().findBest(*Enough);
+    std::vector<AdviceCandidate> All = plainWalk(World);
+    EXPECT_EQ(Found.Candidates.size() - unknownIn(Found.Candidates),
+              All.size() - unknownIn(All))
+        << "seed " << Seed;
+    EXPECT_GE(unknownIn(Found.Candidates), std::min(*Enough, unknownIn(All)))
+        << "seed " << Seed;
+    EXPECT_LE(emptiestOf(World, planAdvice(World.Need, Found.Candidates)),
+              emptiestOf(World, plainPlan(World.Need, All)))
+        << "seed " << Seed;
+    Examined += Found.Examined;
+    ExaminedByAll += World.search().findAll().Examined;
+  }
+  EXPECT_LT(Examined, ExaminedByAll);
+}
+
+// Guards against a search whose length grows with the number of endpoints that
+// have more room than the best ones.
+TEST(AdviceSearchTest, EmptyEndpointsAreNotExaminedBesideEnoughFullerOnes) {
+  RandomTable World(1);
+  World.Step = StepSpec();
+  World.Step.Need = {1000, 500, 0, 0, 0};
+  World.Known = StepAdvice();
+  World.Rules = FakeRules();
+  constexpr int Count = 1100;
+  for (int I = 0; I < Count; ++I) {
+    TrackedEndpoint &Endpoint =
+        World.Table[EndpointId("x" + std::to_string(I))];
+    Endpoint.Info.Id = EndpointId("x" + std::to_string(I));
+    Endpoint.Info.Capacity = {64000, 8000, 0, 0, 0};
+    if (I % 10 == 0)
+      Endpoint.Reserved.MilliCpu = 62000;
+    World.Table.updateRoom(Endpoint);
+  }
+  EXPECT_LE(World.search().findBest(20).Examined, 20 + 150);
+}
+
 // Guards against a step that waits although an endpoint with a gain is a
 // candidate, and one that is searched for because of other endpoints.
 TEST(AdviceSearchTest, FindsCandidatesAmongTheEndpointsWithAGain) {
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -96,12 +96,17 @@
 
 std::vector<AdviceCandidate> Owner::adviceCandidates(const JobProgress &Job,
                                                      const StepKey &Key,
+                                                     const AdviceNeed &Need,
                                                      StepAdvice &Advice) {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
   TimePoint Now = Clock.now();
   StepRules Rules(*this, Job, Key);
+  AdviceSearch Search(Table, Claims, Step, Advice, Rules, Now);
+  // An opportunistic task prefers the emptiest endpoints.
+  std::optional<size_t> Enough =
+      Step.Opportunistic ? std::nullopt : sufficientCandidates(Need);
   AdviceSearchResult Found =
-      AdviceSearch(Table, Claims, Step, Advice, Rules, Now).findAll();
+      Enough ? Search.findBest(*Enough) : Search.findAll();
   Log.count("advice_plans");
   Log.count("advice_endpoints_examined", Found.Examined);
   if (!Found.HasLabelledRoom) {
@@ -216,7 +221,10 @@
   Asked.Expected = adviceTime(Need, expectedEndpoints(Need));
   Asked.Deadline = Job.Objective;
   Asked.IsOverRate = Job.IsOverRate;
-  Asked.Candidates = [this, Key] { return claimCandidates(Key); };
+  Asked.IsLate = isLate(Job, Key);
+  Asked.Candidates = [this, Key, WasLate = Asked.IsLate] {
+    return claimCandidates(Key, WasLate);
+  };
   Advice.IsInFlight = true;
   Log.count("advice_asked");
   Dispatcher.ask(std::move(Asked),
@@ -226,18 +234,23 @@
                  }));
 }
 
-std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key) {
+std::vector<EndpointId> Owner::claimCandidates(const StepKey &Key,
+                                               bool WasLate) {
   removeClaims(Key);
   const JobProgress *Job = jobOf(Key.Job);
   auto Found = StepAdvices.find(Key);
   if (Job == nullptr || Found == StepAdvices.end())
     return {};
+  // What became late while it waited for a route waits anew behind the others.
+  if (!WasLate && isLate(*Job, Key))
+    return {};
   AdviceNeed Need = adviceNeed(*Job, Key);
   StepAdvice &Advice = Found->second;
   if (Need.Tasks == 0 || !isSearchPromising(*Job, Key, Advice))
     return {};
   const StepSpec &Step = Job->Spec.Steps[static_cast<size_t>(Key.Step)];
-  std::vector<AdviceCandidate> Candidates = adviceCandidates(*Job, Key, Advice);
+  std::vector<AdviceCandidate> Candidates =
+      adviceCandidates(*Job, Key, Need, Advice);
   std::vector<EndpointId> Named = planAdvice(Need, Candidates);
   Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
   return Named;
@@ -286,7 +299,7 @@
     return requestSchedulingPass();
   }
   recordAdvice(*Job, Advice, Asked, Result);
-  requestSchedulingPass();
+  requestStepPass(Key);
 }
 
 void Owner::recordAdvice(const JobProgress &Job, StepAdvice &Advice,
