cell: a stall of the process does not count as lasting lag; deferred steps are counted

One stall makes the timers of all endpoints late at once: after a stop of 5 s all jobs would have counted as late for a second. A sample of the lag is bounded now. A pass that starts or ends within the backlog leaves the changed steps to their own pass. late_steps_deferred in process_load tells how much work waits.

--- a/include/teaselwalk/cell/scheduler_lag.hpp
+++ b/include/teaselwalk/cell/scheduler_lag.hpp
@@ -11,18 +11,22 @@
 class SchedulerLag {
 public:
   void record(Duration Late) {
-    double Sample = static_cast<double>(std::max(Late, Duration(0)).count());
+    Late = std::clamp(Late, Duration(0), LongestSample);
+    auto Sample = static_cast<double>(Late.count());
     Smoothed += (Sample - Smoothed) * SampleWeight;
   }
 
   Duration typical() const { return Duration(static_cast<int64_t>(Smoothed)); }
 
   /// True if there is more work than processor time.
-  bool isShort() const { return typical() > LongestLag; }
+  bool isLong() const { return typical() > LongestLag; }
 
 private:
   static constexpr double SampleWeight = 0.05;
   static constexpr Duration LongestLag{30};
+  /// A single long stall makes all timers late at once, and says little about
+  /// the time after it.
+  static constexpr Duration LongestSample{200};
 
   double Smoothed = 0; ///< In ms.
 };
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -176,8 +176,10 @@
       break;
     }
     // What can no longer be in time is left for when there is time for it.
-    if (Next->IsLate && Lag.isShort())
+    if (Next->IsLate && Lag.isLong()) {
+      Log.count("late_steps_deferred");
       continue;
+    }
     Log.count("steps_considered");
     placeStep(*Next);
   }
@@ -188,7 +190,6 @@
 
 void Owner::runSchedulingPass() {
   Log.count("scheduling_passes");
-  ChangedSteps.clear();
   std::vector<BacklogStep> Steps = collectBacklog(Backlog);
   // A pass that was too short for the backlog is continued.
   auto From = NextToPlace
@@ -196,8 +197,11 @@
                   : Steps.cbegin();
   auto Next = placeSteps(Steps, From);
   NextToPlace.reset();
-  if (Next == Steps.cend())
+  if (Next == Steps.cend()) {
+    if (From == Steps.cbegin())
+      ChangedSteps.clear();
     return;
+  }
   NextToPlace = *Next;
   NextToPlace->Job = nullptr;
   requestSchedulingPass();
