cell: declared times decide about late work only while the scheduler lags

Declared times are rough, so a job that counts as late may be in time. The order applies only while timers run late.

--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -331,8 +331,8 @@
   void forgetSteps(const JobProgress &Job, int32_t Occurrence);
   /// The steps that may be placed now, in order. Drops others of \p Keys.
   std::vector<BacklogStep> collectBacklog(std::set<StepKey> &Keys);
-  /// True if the job probably cannot end by its objective if \p Key is placed
-  /// now.
+  /// True if there is too little processor time for all work, and the job
+  /// probably cannot end by its objective if \p Key is placed now.
   bool isLate(const JobProgress &Job, const StepKey &Key) const;
   void placeStep(const BacklogStep &Next);
   /// True if a task that needs no more than \p Need found no room in this pass.
--- a/include/teaselwalk/cell/scheduling_pass.hpp
+++ b/include/teaselwalk/cell/scheduling_pass.hpp
@@ -18,7 +18,7 @@
   StepKey Key;
   bool IsWorthless = false; ///< So late that its result has no value.
   bool IsOverRate = false;  ///< Submitted beyond the rate of its team.
-  bool IsLate = false;      ///< Cannot end by its objective any more.
+  bool IsLate = false;      ///< As `Owner::isLate`.
   int32_t Priority = 0;
   TimePoint Objective;
 
--- a/src/teaselwalk/base/json_text_test.cpp
+++ b/src/teaselwalk/base/json_text_test.cpp
@@ -22,11 +22,11 @@
   Out.text(Odd).text(WithNul).text("").boolean(true);
   Out.endArray().key("empty").beginObject().endObject().endObject();
   Json Found = Json::parse(Out.take());
-  Json Expected = {{Odd,
-                    {std::numeric_limits<int64_t>::min(),
-                     std::numeric_limits<int64_t>::max(), Odd, WithNul, "",
-                     true}},
-                   {"empty", Json::object()}};
+  Json Expected = {
+      {Odd,
+       {std::numeric_limits<int64_t>::min(),
+        std::numeric_limits<int64_t>::max(), Odd, WithNul, "", true}},
+      {"empty", Json::object()}};
   EXPECT_EQ(Found, Expected);
 }
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -121,7 +121,10 @@
 bool Owner::isLate(const JobProgress &Job, const StepKey &Key) const {
   auto Step = static_cast<size_t>(Key.Step);
   // Repetitions and services have no objective.
-  if (Job.Spec.Repetitions > 0 || Job.Spec.Steps[Step].Service)
+  bool HasObjective =
+      Job.Spec.Repetitions == 0 && !Job.Spec.Steps[Step].Service;
+  // Declared times are rough, so they decide only if not all work can be done.
+  if (!HasObjective || !Lag.isLong())
     return false;
   return Clock.now() + Job.ChainFrom[Step] + Lag.typical() * WaitsPerTask >
          Job.Objective;
@@ -176,7 +179,7 @@
       break;
     }
     // What can no longer be in time is left for when there is time for it.
-    if (Next->IsLate && Lag.isLong()) {
+    if (Next->IsLate) {
       Log.count("late_steps_deferred");
       continue;
     }
