cell: the suspension of an endpoint is short again after a quiet time

Callers saw lasting tasks that waited for endpoints which had been repaired long before.

EndpointFaultsTest.ARepairedEndpointIsSuspendedBrieflyAgain failed before: 2 s after one failure, 30 s after the repair, nothing ran on the endpoint.

Open: the number of consecutive failures is still reset only by a task that ends as done.

--- a/src/teaselwalk/cell/endpoint_faults_test.cpp
+++ b/src/teaselwalk/cell/endpoint_faults_test.cpp
@@ -76,5 +76,30 @@
   EXPECT_EQ(World.Cluster.Starts, Jobs);
 }
 
+// Guards against an endpoint with services only that is suspended for the
+// longest time for each failure, long after it was repaired (issue 44).
+TEST(EndpointFaultsTest, ARepairedEndpointIsSuspendedBrieflyAgain) {
+  constexpr Duration LongestPause{2000};
+  FakeWorld World;
+  World.addEndpoints(1);
+  World.addProcesses(1);
+  World.Cluster.DefaultWork.Length = Duration(100);
+  World.Clock.runFor(Duration(1500));
+  FakeMachine &Only = World.Cluster.Machines.begin()->second;
+  Only.FailsAll = true;
+  JobSpec Job = World.job(1, {FakeWorld::step(1)});
+  Job.Steps[0].Service = true;
+  World.send(0, CallerAction::Submit, Job);
+  World.Clock.runFor(Duration(30000));
+  Only.FailsAll = false;
+  World.Cluster.DefaultWork.RunsUntilStopped = true;
+  World.Clock.runFor(Duration(30000));
+  ASSERT_EQ(Only.Running.size(), 1U);
+  World.Cluster.fail({Job.Id, 0, 0, 0});
+  World.Clock.runFor(LongestPause);
+  EXPECT_EQ(Only.Running.size(), 1U);
+  EXPECT_EQ(World.violations(), "");
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -51,11 +51,14 @@
 }
 
 void Owner::suspendEndpoint(TrackedEndpoint &Endpoint, Duration First) {
+  // On an endpoint that runs only services no run ends as done, so time has to
+  // show that it works again.
+  bool IsRepeated = Endpoint.LatestSuspension.count() > 0 &&
+                    Clock.now() - Endpoint.SuspendedUntil < LongestSuspension;
   Endpoint.LatestSuspension =
-      Endpoint.LatestSuspension.count() == 0
-          ? First
-          : std::min<Duration>(Endpoint.LatestSuspension * 2,
-                               LongestSuspension);
+      IsRepeated
+          ? std::min<Duration>(Endpoint.LatestSuspension * 2, LongestSuspension)
+          : First;
   Endpoint.SuspendedUntil = Clock.now() + Endpoint.LatestSuspension;
   Log.event(EventName::EndpointSuspended,
             {{"endpoint", Endpoint.Info.Id.str()},
--- a/src/teaselwalk/cell/testing/fake_cluster.hpp
+++ b/src/teaselwalk/cell/testing/fake_cluster.hpp
@@ -73,6 +73,13 @@
     M.Info.IncarnationMs = M.IncarnationMs;
   }
 
+  /// Ends the run of \p Task, if there is one, as failed.
+  void fail(const TaskKey &Task) {
+    for (auto &[Id, M] : Machines)
+      if (M.Running.count(Task) != 0)
+        finish(M, Task, RunOutcome::Failed);
+  }
+
   void setCapacity(const EndpointId &Id, const Resources &Capacity) {
     Machine &M = Machines[Id];
     M.FormerCapacities.emplace_back(Clock.now(), M.Info.Capacity);
