cell: calls for advice that never end are given up

A route is busy and a step waits until the client reports the end of a call. If that is never reported, both wait for a new owner: all tasks of the step start in the same pass of the new owner, as the two tasks of the incident did. The dispatcher keeps its open calls and treats those as not answered that have not ended 0.5 s after their timeout. No path of the client was found that reports no end, so this bounds a wait and is not shown to be the cause of the incident.

AdviceDispatcherTest.ACallWithoutAnEndIsSentAgainAndGivenUp guards it; before, nothing but the client's answer ended a call.

--- a/include/teaselwalk/cell/advice_dispatcher.hpp
+++ b/include/teaselwalk/cell/advice_dispatcher.hpp
@@ -31,6 +31,10 @@
   /// answer is sent again a few times first.
   void ask(AdviceRequest Asked, AdviceCallback Done);
 
+  /// Treats calls whose end is not reported in time as not answered. Otherwise
+  /// their routes and steps would wait for a new owner.
+  void endOverdue();
+
   /// Number of requests that wait for a route.
   size_t waiting() const {
     return Waiting[false].size() + Waiting[true].size();
@@ -44,6 +48,14 @@
     /// Pause since then; 0: the latest request was answered.
     Duration Pause{0};
   };
+  /// A request that was sent and is not answered yet.
+  struct OpenCall {
+    std::shared_ptr<Route> Through;
+    AdviceQueue::Entry Sent;
+    std::vector<EndpointId> Asked;
+    TimePoint SentAt;
+    TimePoint OverdueAt;
+  };
   /// A request and a route that is free for it.
   struct Choice {
     AdviceQueue *From = nullptr; ///< Null if there is none.
@@ -63,11 +75,13 @@
   std::shared_ptr<Route> freeRoute(bool IsLong) const;
   std::vector<EndpointId> candidatesOf(const AdviceQueue::Entry &Next) const;
   void send(const std::shared_ptr<Route> &Free, AdviceQueue::Entry Next);
+  void end(const std::shared_ptr<OpenCall> &Call, const Advice &Result);
 
   Executor &Clock;
   Advisor &AdvisoryService;
   Recorder &Log;
   std::vector<std::shared_ptr<Route>> Routes;
+  std::vector<std::shared_ptr<OpenCall>> OpenCalls;
   std::array<AdviceQueue, 2> Waiting; ///< Short requests, then long ones.
   TimePoint LastShortAt; ///< When a short request was last handed in.
   /// The service's time for others since the request that had waited longest
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -23,6 +23,8 @@
 /// Added to twice the expected time before a request counts as lost, for the
 /// network and for other routes that the service answers in between.
 constexpr Duration AnswerSlack{350};
+/// A call that has not ended this long after its timeout will not end.
+constexpr Duration OverdueMargin{500};
 /// A route pauses this long after a request that was refused or not answered,
 /// and twice as long each further time while other routes are answered.
 constexpr Duration FirstPause{1000};
@@ -187,26 +189,49 @@
     Time += Next.Asked.Expected;
   Free->IsBusy = true;
   Log.time("advice_wait", Clock.now() - Next.QueuedAt);
-  auto Open = std::make_shared<AdviceQueue::Entry>(std::move(Next));
+  Duration Timeout = Next.Asked.Expected * 2 + AnswerSlack;
+  TimePoint Now = Clock.now();
+  auto Call = std::make_shared<OpenCall>(
+      OpenCall{Free, std::move(Next), std::move(Asked), Now,
+               Now + Timeout + OverdueMargin});
+  OpenCalls.push_back(Call);
   AdvisoryService.ask(
-      Free->Through, Open->Asked.Step, Asked,
-      Open->Asked.Expected * 2 + AnswerSlack,
-      [this, Free, Open, Asked, SentAt = Clock.now(),
-       Token = std::weak_ptr<char>(Alive)](const Advice &Result) {
-        if (Token.expired())
-          return;
-        Free->IsBusy = false;
-        noteOutcome(*Free, Result.Outcome);
-        Log.time("advice_call", Clock.now() - SentAt);
-        if (Result.Outcome == AdviceOutcome::Unknown &&
-            ++Open->UnansweredCalls <= MaxUnansweredCalls) {
-          Open->Asked.Deadline = TimePoint::min();
-          enqueue(std::move(*Open));
-        } else {
-          Open->Done(Asked, Result);
-        }
-        dispatch();
+      Free->Through, Call->Sent.Asked.Step, Call->Asked, Timeout,
+      [this, Call, Token = std::weak_ptr<char>(Alive)](const Advice &Result) {
+        if (!Token.expired())
+          end(Call, Result);
       });
 }
 
+void AdviceDispatcher::end(const std::shared_ptr<OpenCall> &Call,
+                           const Advice &Result) {
+  auto Found = std::find(OpenCalls.begin(), OpenCalls.end(), Call);
+  if (Found == OpenCalls.end())
+    return;
+  OpenCalls.erase(Found);
+  Call->Through->IsBusy = false;
+  noteOutcome(*Call->Through, Result.Outcome);
+  Log.time("advice_call", Clock.now() - Call->SentAt);
+  if (Result.Outcome == AdviceOutcome::Unknown &&
+      ++Call->Sent.UnansweredCalls <= MaxUnansweredCalls) {
+    Call->Sent.Asked.Deadline = TimePoint::min();
+    enqueue(std::move(Call->Sent));
+  } else {
+    Call->Sent.Done(Call->Asked, Result);
+  }
+  dispatch();
+}
+
+void AdviceDispatcher::endOverdue() {
+  TimePoint Now = Clock.now();
+  std::vector<std::shared_ptr<OpenCall>> Overdue;
+  for (const std::shared_ptr<OpenCall> &Call : OpenCalls)
+    if (Call->OverdueAt <= Now)
+      Overdue.push_back(Call);
+  for (const std::shared_ptr<OpenCall> &Call : Overdue) {
+    Log.count("advice_overdue");
+    end(Call, {});
+  }
+}
+
 } // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/advice_dispatcher_test.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher_test.cpp
@@ -63,6 +63,24 @@
   std::vector<AdviceOutcome> Outcomes;
 };
 
+// Guards against a route and a step that wait for ever because the end of a
+// call is never reported (issue 44).
+TEST_F(AdviceDispatcherTest, ACallWithoutAnEndIsSentAgainAndGivenUp) {
+  Dispatcher.setRoutes({{}, {"p", 1}});
+  ask("a", 20, 5000);
+  for (int Call = 1; Call <= 3; ++Call) {
+    EXPECT_EQ(AdvisoryService.Asked.size(), static_cast<size_t>(Call));
+    EXPECT_TRUE(Outcomes.empty());
+    Clock.runFor(Duration(1100));
+    Dispatcher.endOverdue();
+  }
+  ASSERT_EQ(Outcomes.size(), 1U);
+  EXPECT_EQ(Outcomes.front(), AdviceOutcome::Unknown);
+  // A late end changes nothing.
+  answer();
+  EXPECT_EQ(Outcomes.size(), 1U);
+}
+
 // Guards against two open requests of one process: the service would answer
 // them one after the other.
 TEST_F(AdviceDispatcherTest, SendsOneRequestPerProcess) {
