cell: restarts of services reserve room, also before it is free

Callers saw lasting tasks that failed and did not run again for many seconds on a calm fleet with room for them. A request for advice of a service takes 0.35 s and more and names what is free when it is sent. By its answer other work has taken that room, and the next request names what is free then: room goes to whoever asks at the right moment, not to what has waited longest.

Room is now reserved for tasks of a service that ran before: where an open request names endpoints until it is answered, then on as many allowed endpoints as tasks wait, also where that room only becomes free when others end. Placements, gangs and requests of other work respect it. Within a step, tasks that ran before come before those that never did.

Paths with the same cause: the placement of a step with advice, without advice and of a gang (Owner::chooseEndpoint), requests for advice (AdviceSearch::examine), the memories of fleets without room (hasNoRoom, hasFailedInPass), and the order of tasks within a step. Not changed: first starts of services and gangs of services.

--- a/include/teaselwalk/cell/advice_search.hpp
+++ b/include/teaselwalk/cell/advice_search.hpp
@@ -23,6 +23,8 @@
   virtual int32_t countTasksOn(const TrackedEndpoint &Endpoint) const = 0;
   /// Lower ones are preferred.
   virtual double score(const TrackedEndpoint &Endpoint) const = 0;
+  /// Room there that is reserved for other steps.
+  virtual Resources keptRoom(const EndpointId &) const { return {}; }
 };
 
 /// What a search for candidates has found out.
@@ -34,6 +36,9 @@
   int64_t Examined = 0; ///< Endpoints for which the rules were asked.
 };
 
+/// Whether endpoints with room for a task now are found.
+enum class RoomNow { Included, Excluded };
+
 /// Finds the endpoints that an advice request about a step may name. A full
 /// endpoint costs a comparison of its room only.
 class AdviceSearch {
@@ -50,6 +55,9 @@
   /// others, or all if there are fewer. For a score that is the free CPU or
   /// more.
   AdviceSearchResult findBest(size_t Enough) const;
+  /// Finds at most \p Most endpoints on which a task finds room once others
+  /// have ended: first those that were allowed, then those that lack the least.
+  std::vector<AdviceCandidate> findFuture(size_t Most, RoomNow Rooms) const;
   /// True if an endpoint with a later gain than \p Gain is a candidate. Adds to
   /// the other members of \p Result.
   bool findsAfter(uint64_t Gain, AdviceSearchResult &Result) const;
@@ -57,6 +65,10 @@
 private:
   /// True if the service has allowed the step there, in this incarnation.
   bool isAllowed(const TrackedEndpoint &Endpoint) const;
+  /// Remaining validity of its ticket; 0: none.
+  Duration ticketLeft(const TrackedEndpoint &Endpoint) const;
+  /// True if the step may be placed there as soon as there is room.
+  bool mayUse(const TrackedEndpoint &Endpoint) const;
   /// Adds the endpoint of \p Row to \p Result if it is a candidate.
   bool examine(EndpointTable::Row &Row, AdviceSearchResult &Result) const;
 
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -59,7 +59,8 @@
   int64_t LastStoredEnd = 0; ///< All ends up to this number are stored.
   std::deque<UnacknowledgedEnd> UnacknowledgedEnds;
 
-  Resources Reserved; ///< Resources that are reserved for `Tasks`.
+  Resources Reserved;           ///< Resources that are reserved for `Tasks`.
+  Resources ReservedByServices; ///< The part of it for tasks of services.
   /// Tasks that may run here.
   std::unordered_set<TaskKey> Tasks;
   /// Runs that were released because it was silent. Its next answer shows
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -71,9 +71,13 @@
   int32_t Done = 0;
   int32_t Waiting = 0;
   TimePoint WaitingSince; ///< When it was last added to the backlog.
+  TimePoint ReservedAt;   ///< When room was last sought for `restarting`.
   /// Latest attempt for which a failure was counted. A gang counts one for
   /// each attempt.
   int64_t FailedAttempt = 0;
+
+  /// Number of waiting tasks that may have run before.
+  int32_t restarting() const;
 };
 
 /// Progress of one occurrence: a repetition of a job, or its only run.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -12,6 +12,7 @@
 #include "teaselwalk/cell/open_jobs.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
+#include "teaselwalk/cell/room_reservations.hpp"
 #include "teaselwalk/cell/scheduler_lag.hpp"
 #include "teaselwalk/cell/scheduling_pass.hpp"
 #include "teaselwalk/cell/start_window.hpp"
@@ -413,6 +414,37 @@
                                                 const StepKey &Key,
                                                 const AdviceNeed &Need,
                                                 StepAdvice &Advice);
+  // owner_reservations.cpp
+  /// Room on the endpoint that no task of \p Key may use.
+  Resources keptRoom(const JobProgress &Job, const StepKey &Key,
+                     const EndpointId &Endpoint) const;
+  /// Until the request about \p Named is answered no other work takes the room
+  /// that tasks of \p Key had before they ended.
+  void reserveRequested(const JobProgress &Job, const StepKey &Key,
+                        const AdviceNeed &Need,
+                        const std::vector<EndpointId> &Named);
+  /// Waiting tasks of \p Key that ran before and may be placed now.
+  int32_t startableRestarts(const JobProgress &Job, const StepKey &Key) const;
+  /// Adds endpoints to \p Named where those tasks will find room, as far as
+  /// \p Candidates do not suffice.
+  void addFuture(const JobProgress &Job, const StepKey &Key, AdviceNeed Need,
+                 const std::vector<AdviceCandidate> &Candidates,
+                 std::vector<EndpointId> &Named);
+  /// Reserves the next room for those tasks on endpoints that are allowed;
+  /// \p Advice is null if all are.
+  void reserveAllowed(const JobProgress &Job, const StepKey &Key,
+                      const StepAdvice *Advice);
+  /// The same if that was not done shortly before.
+  void updateReservation(const JobProgress &Job, const StepKey &Key,
+                         StepProgress &State, const StepAdvice *Advice);
+  /// Endpoints on which a task of \p Key finds room once others have ended.
+  std::vector<AdviceCandidate> futureCandidates(const JobProgress &Job,
+                                                const StepKey &Key,
+                                                const StepAdvice &Advice,
+                                                RoomNow Rooms);
+  void noteGains(const std::vector<EndpointId> &Endpoints);
+  void dropReservations(const StepKey &Key);
+
   /// False if a search would find no endpoint, as far as is known.
   bool isSearchPromising(const JobProgress &Job, const StepKey &Key,
                          StepAdvice &Advice);
@@ -430,6 +462,9 @@
                        const cell::Advice &Result);
   void onAdvice(const StepKey &Key, const std::vector<EndpointId> &Asked,
                 TimePoint Sent, const cell::Advice &Result);
+  void useAdvice(const JobProgress &Job, const StepKey &Key, StepAdvice &Advice,
+                 const std::vector<EndpointId> &Asked,
+                 const cell::Advice &Result, bool IsMalformed);
   void recordAdvice(const JobProgress &Job, StepAdvice &Advice,
                     const std::vector<EndpointId> &Asked,
                     const cell::Advice &Result);
@@ -490,6 +525,10 @@
   /// Tasks with suspected crashes, and others that had some.
   std::unordered_set<TaskKey> SuspectedTasks;
   RoomClaims Claims; ///< Of the steps whose requests for advice are open.
+  /// For restarts of services: on endpoints that open requests name, and where
+  /// the service has allowed them.
+  RoomReservations RequestedRoom;
+  RoomReservations AllowedRoom;
   std::unordered_map<std::string, AllowedCount> AllowedCounts; ///< By queue.
   /// Ratio of the real to the declared run time, smoothed, by queue.
   std::unordered_map<std::string, double> RunTimeRatio;
--- a/src/teaselwalk/cell/advice_search.cpp
+++ b/src/teaselwalk/cell/advice_search.cpp
@@ -1,6 +1,8 @@
 #include "teaselwalk/cell/advice_search.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <tuple>
 
 namespace teaselwalk::cell {
 namespace {
@@ -13,6 +15,17 @@
   return std::max<int64_t>(TaskCount, 0);
 }
 
+/// The largest part of \p Need that \p Room lacks; 0: it fits.
+double missingShare(const Resources &Need, const Resources &Room) {
+  double Largest = 0;
+  for (int64_t Resources::*Field : ResourceFields)
+    if (Need.*Field > 0)
+      Largest =
+          std::max(Largest, static_cast<double>(Need.*Field - Room.*Field) /
+                                static_cast<double>(Need.*Field));
+  return Largest;
+}
+
 } // namespace
 
 AdviceSearchResult AdviceSearch::findAll() const {
@@ -57,6 +70,60 @@
   });
 }
 
+bool AdviceSearch::mayUse(const TrackedEndpoint &Endpoint) const {
+  auto Known = Advice.Endpoints.find(Endpoint.Info.Id);
+  bool IsRefused = Known != Advice.Endpoints.end() &&
+                   Known->second.IncarnationMs == Endpoint.IncarnationMs &&
+                   !Known->second.IsAllowed;
+  bool HasLabel =
+      Step.RequiredLabel.empty() || Endpoint.hasLabel(Step.RequiredLabel);
+  return !IsRefused && HasLabel && Rules.mayStartOn(Endpoint) &&
+         !Rules.isIsolated(Endpoint) &&
+         (Step.MaxPerEndpoint == 0 ||
+          Rules.countTasksOn(Endpoint) < Step.MaxPerEndpoint);
+}
+
+std::vector<AdviceCandidate> AdviceSearch::findFuture(size_t Most,
+                                                      RoomNow Rooms) const {
+  std::vector<AdviceCandidate> Found;
+  for (const EndpointTable::Row &Row : Table.rows()) {
+    const TrackedEndpoint &Endpoint = *Row.Endpoint;
+    Resources Later = Endpoint.Info.Capacity - Endpoint.ReservedByServices;
+    if (!fits(Step.Need, Later))
+      continue;
+    Resources Kept = Rules.keptRoom(*Row.Id);
+    Resources Free = Row.Free - Kept;
+    bool HasRoom = fits(Step.Need, Free);
+    if ((HasRoom && Rooms == RoomNow::Excluded) ||
+        !fits(Step.Need, Later - Kept) || !mayUse(Endpoint))
+      continue;
+    int64_t Places = HasRoom ? tasksThatFit(Step.Need, Free) : 1;
+    if (Step.MaxPerEndpoint > 0)
+      Places = std::min<int64_t>(Places, Step.MaxPerEndpoint -
+                                             Rules.countTasksOn(Endpoint));
+    Found.push_back({Row.Id, Places, missingShare(Step.Need, Free),
+                     isAllowed(Endpoint), ticketLeft(Endpoint)});
+  }
+  auto IsNearer = [](const AdviceCandidate &A, const AdviceCandidate &B) {
+    return std::tie(B.IsAllowed, A.Score, *A.Id) <
+           std::tie(A.IsAllowed, B.Score, *B.Id);
+  };
+  size_t Count = std::min(Most, Found.size());
+  std::partial_sort(Found.begin(),
+                    Found.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Found.end(), IsNearer);
+  Found.resize(Count);
+  return Found;
+}
+
+Duration AdviceSearch::ticketLeft(const TrackedEndpoint &Endpoint) const {
+  auto Known = Advice.Endpoints.find(Endpoint.Info.Id);
+  if (Known == Advice.Endpoints.end() ||
+      Known->second.IncarnationMs != Endpoint.IncarnationMs)
+    return Duration(0);
+  return std::max<Duration>(Duration(0), Known->second.ValidUntil - Now);
+}
+
 bool AdviceSearch::examine(EndpointTable::Row &Row,
                            AdviceSearchResult &Result) const {
   // Nothing is placed on an endpoint whose capacity has shrunk below what is
@@ -70,7 +137,7 @@
     Row.UsableIncarnationMs = 0;
     return false;
   }
-  Resources Room = Row.Free - Claims.claimed(*Row.Id);
+  Resources Room = Row.Free - Claims.claimed(*Row.Id) - Rules.keptRoom(*Row.Id);
   int64_t Places = tasksThatFit(Step.Need, Room);
   if (Places == 0)
     return false;
--- a/src/teaselwalk/cell/job_progress.cpp
+++ b/src/teaselwalk/cell/job_progress.cpp
@@ -185,6 +185,13 @@
   return Found == SuspectedCrashes.end() ? nullptr : &*Found;
 }
 
+int32_t StepProgress::restarting() const {
+  return static_cast<int32_t>(
+      std::count_if(Tasks.begin(), Tasks.end(), [](const TaskProgress &Task) {
+        return Task.Phase == TaskPhase::Waiting && Task.Attempt > 0;
+      }));
+}
+
 JobProgress::JobProgress(JobSpec Given)
     : Spec(std::move(Given)), ChainFrom(chainsFrom(Spec)) {
   if (Spec.Repetitions == 0)
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -1,4 +1,5 @@
 #include "owner_limits.hpp"
+#include "owner_step_rules.hpp"
 
 #include "teaselwalk/cell/owner.hpp"
 
@@ -65,35 +66,6 @@
   return policyOf(Job).NeedsAdvice ? &StepAdvices[Key] : nullptr;
 }
 
-class Owner::StepRules : public PlacementRules {
-public:
-  StepRules(const Owner &Parent, const JobProgress &Job, const StepKey &Key)
-      : Parent(Parent), Job(Job), Key(Key),
-        Step(Job.Spec.Steps[static_cast<size_t>(Key.Step)]),
-        Service(Parent.policyOf(Job).Service), Now(Parent.Clock.now()) {}
-
-  bool mayStartOn(const TrackedEndpoint &Endpoint) const override {
-    return Parent.mayStartOn(Endpoint, Service, Now);
-  }
-  bool isIsolated(const TrackedEndpoint &Endpoint) const override {
-    return Parent.isIsolated(Endpoint, Job.Spec.Id);
-  }
-  int32_t countTasksOn(const TrackedEndpoint &Endpoint) const override {
-    return Parent.countTasksOn(Endpoint, Key);
-  }
-  double score(const TrackedEndpoint &Endpoint) const override {
-    return Parent.score(Endpoint, Step);
-  }
-
-private:
-  const Owner &Parent;
-  const JobProgress &Job;
-  const StepKey &Key;
-  const StepSpec &Step;
-  const std::string &Service;
-  const TimePoint Now;
-};
-
 std::vector<AdviceCandidate> Owner::adviceCandidates(const JobProgress &Job,
                                                      const StepKey &Key,
                                                      const AdviceNeed &Need,
@@ -128,7 +100,8 @@
                               StepAdvice &Advice) {
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
   TimePoint Now = Clock.now();
-  if (hasNoRoom(policyOf(Job).Service, Step))
+  // Room is kept for restarts that others do not find.
+  if (!isRestart(Job, Key) && hasNoRoom(policyOf(Job).Service, Step))
     return false;
   if (Advice.SearchedUpTo == 0 || Advice.SearchAgainAt <= Now)
     return true;
@@ -267,6 +240,10 @@
       adviceCandidates(*Job, Key, Need, Advice);
   std::vector<EndpointId> Named = planAdvice(Need, Candidates);
   Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
+  if (isRestart(*Job, Key)) {
+    reserveRequested(*Job, Key, Need, Named);
+    addFuture(*Job, Key, Need, Candidates, Named);
+  }
   return Named;
 }
 
@@ -300,19 +277,27 @@
   if (IsMalformed)
     Log.count("advice_malformed");
   const JobProgress *Job = jobOf(Key.Job);
-  if (Found == StepAdvices.end() || Job == nullptr)
-    return;
-  StepAdvice &Advice = Found->second;
+  if (Found != StepAdvices.end() && Job != nullptr)
+    useAdvice(*Job, Key, Found->second, Asked, Result, IsMalformed);
+  noteGains(RequestedRoom.remove(Key));
+}
+
+void Owner::useAdvice(const JobProgress &Job, const StepKey &Key,
+                      StepAdvice &Advice, const std::vector<EndpointId> &Asked,
+                      const cell::Advice &Result, bool IsMalformed) {
+  TimePoint Now = Clock.now();
   Advice.IsInFlight = false;
   if (Result.Outcome == AdviceOutcome::Dropped) {
     Advice.NotBefore = Now + NoCandidatePause;
     return;
   }
-  if (!IsAnswered || IsMalformed) {
+  if (Result.Outcome != AdviceOutcome::Answered || IsMalformed) {
     Advice.NotBefore = Now + UnansweredPause;
     return requestSchedulingPass();
   }
-  recordAdvice(*Job, Advice, Asked, Result);
+  recordAdvice(Job, Advice, Asked, Result);
+  if (isRestart(Job, Key))
+    reserveAllowed(Job, Key, &Advice);
   requestStepPass(Key);
 }
 
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -26,6 +26,20 @@
 /// is stored, its start is answered, its end is read.
 constexpr int WaitsPerTask = 3;
 
+/// The waiting tasks of a step in the order in which they are placed: those of
+/// a service that ran before are first.
+std::vector<size_t> placementOrder(const StepSpec &Step,
+                                   const StepProgress &State) {
+  std::vector<size_t> Order;
+  for (size_t T = 0; T < State.Tasks.size(); ++T)
+    if (State.Tasks[T].Phase == TaskPhase::Waiting)
+      Order.push_back(T);
+  if (Step.Service)
+    std::stable_partition(Order.begin(), Order.end(),
+                          [&](size_t T) { return State.Tasks[T].Attempt > 0; });
+  return Order;
+}
+
 /// The resources that a task reserves on its endpoint. An opportunistic task
 /// reserves no CPU, because it gives way to tasks that need it.
 Resources reservedResources(const StepSpec &Step) {
@@ -64,6 +78,8 @@
   compactBundles();
   giveUpAfterSilence();
   TimePoint Now = Clock.now();
+  noteGains(AllowedRoom.removeEnded(Now));
+  noteGains(RequestedRoom.removeEnded(Now));
   for (auto &[Id, Endpoint] : Table)
     releaseIfLeasesEnded(Endpoint, Now);
   for (auto It = Table.begin(); It != Table.end();) {
@@ -123,6 +139,7 @@
     Backlog.erase(Key);
     ChangedSteps.erase(Key);
     StepAdvices.erase(Key);
+    dropReservations(Key);
   }
 }
 
@@ -270,10 +287,9 @@
   std::string Places;
   int32_t Placed = 0;
   bool IsShort = false;
-  for (size_t T = 0; T < State.Tasks.size() && State.Waiting > 0; ++T) {
+  for (size_t T : placementOrder(Step, State)) {
     TaskProgress &Task = State.Tasks[T];
-    if (Task.Phase != TaskPhase::Waiting || Task.NotBefore > Now ||
-        Task.mustAwaitVerdict())
+    if (Task.NotBefore > Now || Task.mustAwaitVerdict())
       continue;
     if (!fitsTeamLimit(Job, Step.Need) || isStartLimitReached())
       break;
@@ -294,6 +310,9 @@
     Task.AssignmentVersion = Job.Version + 1;
     OpenStarts.emplace(Key, TimePoint::max());
     reserveResources(*Endpoint, Job, Key);
+    if (AllowedRoom.tasksOf(Next.Key) > 0)
+      noteGains(AllowedRoom.onPlaced(Next.Key, Endpoint->Info.Id,
+                                     State.restarting()));
     if (IsSuspected)
       Endpoint->IsolatedTask = Key;
     ++Placed;
@@ -311,6 +330,8 @@
                {"config", std::to_string(Hooks.Desired->Config.Version)},
                {"places", Places}});
   }
+  if (IsShort && isRestart(Job, Next.Key))
+    updateReservation(Job, Next.Key, State, Advice);
   if (IsShort && Advice != nullptr)
     askAdvice(Job, Next.Key, *Advice);
 }
@@ -331,8 +352,9 @@
   TrackedEndpoint *Best = nullptr;
   double BestScore = std::numeric_limits<double>::max();
   auto Consider = [&](TrackedEndpoint &Endpoint) {
-    if (!fits(Need, Endpoint.freeCapacity()) ||
-        isIsolated(Endpoint, Job.Spec.Id))
+    Resources Room =
+        Endpoint.freeCapacity() - keptRoom(Job, Key, Endpoint.Info.Id);
+    if (!fits(Need, Room) || isIsolated(Endpoint, Job.Spec.Id))
       return;
     if (!Step.RequiredLabel.empty() && !Endpoint.hasLabel(Step.RequiredLabel))
       return;
@@ -353,7 +375,7 @@
   };
   TimePoint Now = Clock.now();
   if (Advice == nullptr) {
-    if (hasFailedInPass(Service, Need))
+    if (!isRestart(Job, Key) && hasFailedInPass(Service, Need))
       return nullptr;
     // An opportunistic task prefers the emptiest endpoints.
     Table.visitByRoom(
@@ -436,6 +458,8 @@
   ++Job.Occurrences.at(Key.Occurrence).ReservedTasks;
   Endpoint.Reserved += reservedResources(Step);
   TeamUsage[Job.Spec.Team] += Step.Need;
+  if (Step.Service)
+    Endpoint.ReservedByServices += reservedResources(Step);
   Endpoint.ServingTasks += Step.TailTarget.count() > 0 ? 1 : 0;
   Endpoint.OpportunisticTasks += Step.Opportunistic ? 1 : 0;
   Endpoint.OpportunisticCpu += Step.Opportunistic ? Step.Need.MilliCpu : 0;
@@ -454,6 +478,8 @@
   --Job.Occurrences.at(Key.Occurrence).ReservedTasks;
   Endpoint.Reserved -= reservedResources(Step);
   TeamUsage[Job.Spec.Team] -= Step.Need;
+  if (Step.Service)
+    Endpoint.ReservedByServices -= reservedResources(Step);
   Endpoint.ServingTasks -= Step.TailTarget.count() > 0 ? 1 : 0;
   Endpoint.OpportunisticTasks -= Step.Opportunistic ? 1 : 0;
   Endpoint.OpportunisticCpu -= Step.Opportunistic ? Step.Need.MilliCpu : 0;
--- /dev/null
+++ b/src/teaselwalk/cell/owner_step_rules.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "teaselwalk/cell/owner.hpp"
+
+namespace teaselwalk::cell {
+
+class Owner::StepRules : public PlacementRules {
+public:
+  StepRules(const Owner &Parent, const JobProgress &Job, const StepKey &Key)
+      : Parent(Parent), Job(Job), Key(Key),
+        Step(Job.Spec.Steps[static_cast<size_t>(Key.Step)]),
+        Service(Parent.policyOf(Job).Service), Now(Parent.Clock.now()) {}
+
+  bool mayStartOn(const TrackedEndpoint &Endpoint) const override {
+    return Parent.mayStartOn(Endpoint, Service, Now);
+  }
+  bool isIsolated(const TrackedEndpoint &Endpoint) const override {
+    return Parent.isIsolated(Endpoint, Job.Spec.Id);
+  }
+  int32_t countTasksOn(const TrackedEndpoint &Endpoint) const override {
+    return Parent.countTasksOn(Endpoint, Key);
+  }
+  double score(const TrackedEndpoint &Endpoint) const override {
+    return Parent.score(Endpoint, Step);
+  }
+  Resources keptRoom(const EndpointId &Endpoint) const override {
+    return Parent.keptRoom(Job, Key, Endpoint);
+  }
+
+private:
+  const Owner &Parent;
+  const JobProgress &Job;
+  const StepKey &Key;
+  const StepSpec &Step;
+  const std::string &Service;
+  const TimePoint Now;
+};
+
+} // namespace teaselwalk::cell
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -72,6 +72,8 @@
   Duration StatusKept{3600000};
   /// CPU cores of the processes by index; 1 where there is no entry.
   std::map<size_t, double> CoresOf;
+  /// Path of the queue to which `send` submits.
+  std::string QueuePath = "/batch/";
 
   FakeWorld() {
     Config.Version = 1;
@@ -227,7 +229,7 @@
     Request.Action = Action;
     Request.Host = "host";
     Request.Path =
-        "/batch/" + (Action == CallerAction::Pending ? "" : Job.Id.str());
+        QueuePath + (Action == CallerAction::Pending ? "" : Job.Id.str());
     Request.Key = Key;
     Request.ArrivedAt = Clock.now();
     Submitted = Job;
