cell: looking for reserved room costs steps of other jobs less

A step that is no service looks at its waiting tasks in one pass without a list of them, reserved room is looked up only where there is room, and a waiting restart seeks room that will become free 4 times a second.

--- a/src/teaselwalk/cell/advice_search.cpp
+++ b/src/teaselwalk/cell/advice_search.cpp
@@ -137,7 +137,13 @@
     Row.UsableIncarnationMs = 0;
     return false;
   }
-  Resources Room = Row.Free - Claims.claimed(*Row.Id) - Rules.keptRoom(*Row.Id);
+  Resources Room = Row.Free - Claims.claimed(*Row.Id);
+  if (tasksThatFit(Step.Need, Room) == 0)
+    return false;
+  Resources Kept = Rules.keptRoom(*Row.Id);
+  if (!fits(Step.Need, Row.Free - Kept))
+    return false;
+  Room -= Kept;
   int64_t Places = tasksThatFit(Step.Need, Room);
   if (Places == 0)
     return false;
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -26,18 +26,24 @@
 /// is stored, its start is answered, its end is read.
 constexpr int WaitsPerTask = 3;
 
-/// The waiting tasks of a step in the order in which they are placed: those of
-/// a service that ran before are first.
-std::vector<size_t> placementOrder(const StepSpec &Step,
-                                   const StepProgress &State) {
-  std::vector<size_t> Order;
-  for (size_t T = 0; T < State.Tasks.size(); ++T)
-    if (State.Tasks[T].Phase == TaskPhase::Waiting)
-      Order.push_back(T);
-  if (Step.Service)
-    std::stable_partition(Order.begin(), Order.end(),
-                          [&](size_t T) { return State.Tasks[T].Attempt > 0; });
-  return Order;
+/// Calls \p Place with the index of each waiting task of a step until it
+/// returns false: first the tasks of a service that ran before.
+template <typename Call>
+void forWaitingTasks(const StepSpec &Step, const StepProgress &State,
+                     Call Place) {
+  auto ForAll = [&](auto IsMeant) {
+    for (size_t T = 0; T < State.Tasks.size() && State.Waiting > 0; ++T)
+      if (State.Tasks[T].Phase == TaskPhase::Waiting &&
+          IsMeant(State.Tasks[T]) && !Place(T))
+        return false;
+    return true;
+  };
+  auto RanBefore = [](const TaskProgress &Task) { return Task.Attempt > 0; };
+  if (Step.Service && !ForAll(RanBefore))
+    return;
+  ForAll([&](const TaskProgress &Task) {
+    return !Step.Service || !RanBefore(Task);
+  });
 }
 
 /// The resources that a task reserves on its endpoint. An opportunistic task
@@ -287,20 +293,18 @@
   std::string Places;
   int32_t Placed = 0;
   bool IsShort = false;
-  for (size_t T : placementOrder(Step, State)) {
+  forWaitingTasks(Step, State, [&](size_t T) {
     TaskProgress &Task = State.Tasks[T];
     if (Task.NotBefore > Now || Task.mustAwaitVerdict())
-      continue;
+      return true;
     if (!fitsTeamLimit(Job, Step.Need) || isStartLimitReached())
-      break;
+      return false;
     bool IsSuspected = Task.isSuspected();
     TrackedEndpoint *Endpoint =
         chooseEndpoint(Job, Step, Next.Key, Advice, IsSuspected);
     if (Endpoint == nullptr) {
       IsShort = true;
-      if (IsSuspected)
-        continue;
-      break;
+      return IsSuspected;
     }
     TaskKey Key{Next.Key.Job, Next.Key.Occurrence, Next.Key.Step,
                 static_cast<int32_t>(T)};
@@ -318,7 +322,8 @@
     ++Placed;
     Places += (Places.empty() ? "" : ",") + std::to_string(T) + "@" +
               Endpoint->Info.Id.str();
-  }
+    return true;
+  });
   if (Placed > 0) {
     markChanged(Job);
     Log.event(EventName::StepPlaced,
--- a/src/teaselwalk/cell/owner_reservations.cpp
+++ b/src/teaselwalk/cell/owner_reservations.cpp
@@ -15,7 +15,7 @@
 /// One for an open request ends even if there is no answer.
 constexpr Duration LongestRequest{1500};
 /// Room that is not free yet is sought again after this time.
-constexpr Duration ReservationInterval{100};
+constexpr Duration ReservationInterval{250};
 /// Endpoints for a restart on which room is expected, at most.
 constexpr size_t MostFutureEndpoints = 100;
 
@@ -23,11 +23,11 @@
 
 Resources Owner::keptRoom(const JobProgress &Job, const StepKey &Key,
                           const EndpointId &Endpoint) const {
-  if (AllowedRoom.isEmpty() && RequestedRoom.isEmpty())
-    return {};
-  Resources Kept = AllowedRoom.keptFrom(Key, Endpoint);
+  Resources Kept;
+  if (!AllowedRoom.isEmpty())
+    Kept = AllowedRoom.keptFrom(Key, Endpoint);
   // Few of the endpoints in a request are used, so restarts share them.
-  if (!isRestart(Job, Key))
+  if (!RequestedRoom.isEmpty() && !isRestart(Job, Key))
     Kept += RequestedRoom.keptFrom(Key, Endpoint);
   return Kept;
 }
