cell: no room is reserved while the scheduler lags

Answers are used late then, and reserved room is idle meanwhile. Searches for requests no longer subtract the room that other requests name twice, as claims and as reservations.

--- a/src/teaselwalk/cell/owner_reservations.cpp
+++ b/src/teaselwalk/cell/owner_reservations.cpp
@@ -74,6 +74,9 @@
 
 int32_t Owner::startableRestarts(const JobProgress &Job,
                                  const StepKey &Key) const {
+  // Answers are used late then, and reserved room would not be used meanwhile.
+  if (Lag.isLong())
+    return 0;
   const StepSpec &Step = Job.Spec.Steps[static_cast<size_t>(Key.Step)];
   TimePoint Now = Clock.now();
   Resources All;
--- a/src/teaselwalk/cell/owner_step_rules.hpp
+++ b/src/teaselwalk/cell/owner_step_rules.hpp
@@ -24,7 +24,10 @@
     return Parent.score(Endpoint, Step);
   }
   Resources keptRoom(const EndpointId &Endpoint) const override {
-    return Parent.keptRoom(Job, Key, Endpoint);
+    // What open requests may use is claimed already.
+    return Parent.AllowedRoom.isEmpty()
+               ? Resources()
+               : Parent.AllowedRoom.keptFrom(Key, Endpoint);
   }
 
 private:
