http, node: limits of what the connections of clients may hold

Cause: a body was read to its end whatever the path and key, memory was bounded for each message but not for all of them, and a connection without a request kept its place for 10 s. Change: each server has a budget of bytes, a share of the VM's memory. Descriptors are divided between servers and clients.

--- a/include/teaselwalk/cell/scheduler_core.hpp
+++ b/include/teaselwalk/cell/scheduler_core.hpp
@@ -52,6 +52,8 @@
   /// Applies a changed item to the desired state; throws `Error` if the item is
   /// malformed.
   std::function<void(const StoreItem &, DesiredState &)> ApplyOperatorItem;
+  /// Called with each new configuration; may be empty.
+  std::function<void(const Configuration &)> ConfigurationChanged;
   /// Decodes the body of a submission; throws if it is malformed.
   std::function<JobSpec(const std::string &Body)> DecodeSubmission;
 };
--- a/include/teaselwalk/node/settings.hpp
+++ b/include/teaselwalk/node/settings.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "teaselwalk/base/time.hpp"
+#include "teaselwalk/cell/features.hpp"
 #include "teaselwalk/protocol/vm.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace teaselwalk::node {
@@ -32,8 +34,20 @@
   int64_t MaxStoreValueBytes = 1048576; ///< Largest value the store takes.
   protocol::Address Advisor; ///< Port 0: there is no advisory service.
   int64_t MaxDescriptors = 1024;
-  double Cores = 1; ///< CPU cores that this process may use.
+  int64_t MemoryMb = 256; ///< Memory of the VM.
+  double Cores = 1;       ///< CPU cores that this process may use.
+  /// Operators may take a data centre out of service at any time.
+  bool HasEvacuations = true;
+  /// Features that are on; nothing: as `defaultFeatures`.
+  std::optional<cell::FeatureSet> Features;
   Bounds Limits;
 };
 
+/// The features of a deployment that names none. Deployments whose operators
+/// take data centres out of service run as before the features existed: a job
+/// that is kept together would lose all its endpoints at once.
+inline cell::FeatureSet defaultFeatures(const NodeSettings &Settings) {
+  return Settings.HasEvacuations ? cell::FeatureSet() : cell::FeatureSet::all();
+}
+
 } // namespace teaselwalk::node
--- a/src/teaselwalk/cell/scheduler_core.cpp
+++ b/src/teaselwalk/cell/scheduler_core.cpp
@@ -84,6 +84,8 @@
                    {{"key", Item.Key}, {"reason", Failure.what()}});
     return;
   }
+  if (Desired.Config.Version != Before && Options.ConfigurationChanged)
+    Options.ConfigurationChanged(Desired.Config);
   if (Desired.Config.Version != Before)
     Deps.Log.event(EventName::DocumentApplied,
                    {{"version", std::to_string(Desired.Config.Version)},
--- a/src/teaselwalk/cli/node_command.cpp
+++ b/src/teaselwalk/cli/node_command.cpp
@@ -20,12 +20,17 @@
     R"(Run an entry process on the users' platform until SIGTERM or SIGINT.
 
 Usage:
-  teaselwalk node [--settings FILE]
+  teaselwalk node [--settings FILE] [--features LIST]
   teaselwalk node --help
 
 Options:
   --settings FILE   The platform's settings file. Default: the file that the
                     platform names in the environment.
+  --features LIST   Features of the scheduler that are on, separated by commas:
+                    failure_domains, endpoint_records, urgent_room; or all, or
+                    none. Default: all if the settings list the terms of the
+                    deployment and its operators take no data centres out of
+                    service, else none.
 )";
 
 /// Of the time between SIGTERM and SIGKILL, kept for the exit itself.
@@ -65,6 +70,9 @@
 int run(const Arguments &Args) {
   std::string File = settingsFile(Args);
   node::NodeSettings Settings = load(File);
+  if (Args.at("--features"))
+    Settings.Features =
+        cell::FeatureSet::parse(Args.at("--features").asString());
   sigset_t Signals = blockStopSignals();
   sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
--- a/src/teaselwalk/node/process.cpp
+++ b/src/teaselwalk/node/process.cpp
@@ -4,6 +4,7 @@
 #include "http_peer_calls.hpp"
 #include "probe_responder.hpp"
 #include "recorder.hpp"
+#include "rejection_log.hpp"
 
 #include "platform/advisor.hpp"
 #include "platform/documents.hpp"
@@ -27,7 +28,7 @@
 namespace {
 
 /// File descriptors kept free for the log, timers and the other servers.
-constexpr int64_t ReservedFileDescriptors = 500;
+constexpr int64_t ReservedFileDescriptors = 300;
 
 /// New connections arrive until the platform has noticed that the process is
 /// not ready: after two failed readiness probes, which it sends once a second.
@@ -55,28 +56,64 @@
 constexpr int64_t MinLoggedItems = 1000;
 constexpr Duration MinLoggedDelay{100};
 
-/// The connections that callers and other processes may open, and as many that
-/// this process may open.
-size_t maxConnections(int64_t MaxDescriptors) {
-  constexpr int64_t Least = 64;
-  return static_cast<size_t>(
-      std::max(Least, (MaxDescriptors - ReservedFileDescriptors) / 2));
+/// What one of the servers may hold: a share of the memory of the VM, for the
+/// bytes of requests and answers, and of the file descriptors.
+struct ServerShare {
+  const char *Name; ///< In metrics and log lines.
+  double OfMemory;
+  double OfDescriptors;
+  size_t MaxBodyBytes;
+};
+
+/// Together a quarter of the memory; the rest is for the scheduler.
+constexpr ServerShare CallersShare = {"callers", 0.18, 0.3, 1 << 20};
+constexpr ServerShare PeersShare = {"peers", 0.06, 0.12, 1 << 20};
+constexpr ServerShare ReadinessShare = {"readiness", 0.01, 0.02, 0};
+/// Of the descriptors, for the connections that this process opens: to
+/// endpoints and other processes, and to the store.
+constexpr double SenderShare = 0.46;
+constexpr double ControlSenderShare = 0.1;
+
+/// Of the connections of a server, at most this share has one address.
+constexpr double AddressShare = 0.75;
+
+size_t shareOf(int64_t Total, double Share, size_t Least) {
+  return std::max(Least,
+                  static_cast<size_t>(static_cast<double>(Total) * Share));
+}
+
+size_t maxConnections(int64_t MaxDescriptors, double Share) {
+  constexpr size_t Least = 16;
+  return shareOf(std::max<int64_t>(0, MaxDescriptors - ReservedFileDescriptors),
+                 Share, Least);
 }
 
 http::ServerOptions serverOptions(const protocol::Address &At,
-                                  int64_t MaxDescriptors) {
+                                  const NodeSettings &Given,
+                                  const ServerShare &Share,
+                                  RejectionLog &Rejections) {
+  constexpr size_t LeastBytes = 1 << 18;
   http::ServerOptions Options;
   Options.Ip = At.Ip;
   Options.Port = At.Port;
-  Options.MaxBodyBytes = 1 << 20;
+  Options.MaxBodyBytes = Share.MaxBodyBytes;
   Options.MaxHeaderBytes = 16384;
-  Options.MaxConnections = maxConnections(MaxDescriptors);
+  Options.MaxConnections =
+      maxConnections(Given.MaxDescriptors, Share.OfDescriptors);
+  Options.MaxConnectionsPerAddress = static_cast<size_t>(
+      static_cast<double>(Options.MaxConnections) * AddressShare);
+  Options.Budget = std::make_shared<http::ByteBudget>(
+      shareOf(Given.MemoryMb << 20, Share.OfMemory, LeastBytes));
+  Options.OnRejected = [&Rejections](http::Rejection Why,
+                                     const std::string &Address) {
+    Rejections.add(Why, Address);
+  };
   return Options;
 }
 
-http::ClientOptions clientOptions(int64_t MaxDescriptors) {
+http::ClientOptions clientOptions(int64_t MaxDescriptors, double Share) {
   http::ClientOptions Options;
-  Options.MaxConnections = maxConnections(MaxDescriptors);
+  Options.MaxConnections = maxConnections(MaxDescriptors, Share);
   Options.MaxConnectionsPerPeer = 24;
   return Options;
 }
@@ -106,25 +143,28 @@
                   schedulerOptions()),
         OwnerProbes(Scheduler.processId(), Core),
         CallerServer(
-            serverOptions(Given.Callers, Given.MaxDescriptors),
+            callerOptions(Given),
             [this](const http::Request &Message, const http::Responder &To) {
               handleCaller(Message, To);
             }),
         ReadinessServer(
-            serverOptions(Given.Readiness, Given.MaxDescriptors),
+            serverOptions(Given.Readiness, Given, ReadinessShare,
+                          ReadinessRejections),
             [this](const http::Request &, const http::Responder &To) {
               To.send({isReady() ? 200 : 503, "{}"});
             }),
         PeerServer(
-            serverOptions(Given.Peers, Given.MaxDescriptors),
+            serverOptions(Given.Peers, Given, PeersShare, PeerRejections),
             [this](const http::Request &Message, const http::Responder &To) {
               handlePeer(Message, To);
             }) {
-    runtime::logEvent(runtime::Level::Info, EventName::ProcessStarted,
-                      {{"name", Given.Name},
-                       {"data_centre", Given.DataCentre},
-                       {"callers_port", Given.Callers.Port},
-                       {"peer_port", Given.Peers.Port}});
+    runtime::logEvent(
+        runtime::Level::Info, EventName::ProcessStarted,
+        {{"name", Given.Name},
+         {"data_centre", Given.DataCentre},
+         {"callers_port", Given.Callers.Port},
+         {"features", Given.Features.value_or(defaultFeatures(Given)).str()},
+         {"peer_port", Given.Peers.Port}});
     startThread("control-client", ControlSender);
     startThread("client", Sender);
     Threads.start("core", {[this] { Core.run(); }, [this] { Core.stop(); }});
@@ -190,6 +230,8 @@
     Options.ClaimDelay =
         Duration(static_cast<int64_t>(Entropy() % MaxClaimDelayMs));
     Options.KeyRevocation = Settings.Limits.KeyRevocation;
+    Options.Owner.Features =
+        Settings.Features.value_or(defaultFeatures(Settings));
     Options.Owner.MaxTaskLease = Settings.Limits.MaxTaskLease;
     Options.Owner.MaxRecordBytes =
         static_cast<size_t>(Settings.MaxStoreValueBytes);
@@ -199,6 +241,19 @@
     Options.OperatorPrefix = adapter::OperatorPrefix;
     Options.ApplyOperatorItem = adapter::applyOperatorItem;
     Options.DecodeSubmission = adapter::decodeSubmission;
+    Options.ConfigurationChanged = [this](const cell::Configuration &Newest) {
+      std::atomic_store(&PublishedConfig,
+                        std::make_shared<const cell::Configuration>(Newest));
+    };
+    return Options;
+  }
+
+  http::ServerOptions callerOptions(const NodeSettings &Given) {
+    http::ServerOptions Options =
+        serverOptions(Given.Callers, Given, CallersShare, CallerRejections);
+    Options.CheckHead = [this](const http::Request &Head) {
+      return adapter::checkHead(Head, std::atomic_load(&PublishedConfig).get());
+    };
     return Options;
   }
 
@@ -310,9 +365,10 @@
   EventRecorder Events;
   CoreLoop Core;
   /// For the store and the health of the owner.
-  http::Client ControlSender{clientOptions(Settings.MaxDescriptors)};
+  http::Client ControlSender{
+      clientOptions(Settings.MaxDescriptors, ControlSenderShare)};
   /// For endpoints, the advisory service and queries of callers.
-  http::Client Sender{clientOptions(Settings.MaxDescriptors)};
+  http::Client Sender{clientOptions(Settings.MaxDescriptors, SenderShare)};
   adapter::PlatformStore Store;
   adapter::PlatformStore CallerStore;
   adapter::PlatformEndpoints Endpoints;
@@ -325,6 +381,11 @@
   /// When the scheduler last reported readiness, on the clock of `Core`; 0 if
   /// it reported that it is not ready.
   std::atomic<int64_t> ReadyAtMs{0};
+  /// The newest configuration, for the thread that reads requests.
+  std::shared_ptr<const cell::Configuration> PublishedConfig;
+  RejectionLog CallerRejections{CallersShare.Name, Registry};
+  RejectionLog ReadinessRejections{ReadinessShare.Name, Registry};
+  RejectionLog PeerRejections{PeersShare.Name, Registry};
   http::Server CallerServer;
   http::Server ReadinessServer;
   http::Server PeerServer;
