cell: jobs stay in one data centre, bad endpoints are avoided, urgent jobs get room

Cause, on two deployments with more work than room: a job had tasks in nearly all data centres, so one cut delayed most jobs; endpoints that failed half of their tasks were used again at once; urgent jobs waited for large ones that could go on from a checkpoint later, and asked for advice several times as their places were taken meanwhile. Decisions are in cell/decisions.

--- a/include/teaselwalk/cell/advice_dispatcher.hpp
+++ b/include/teaselwalk/cell/advice_dispatcher.hpp
@@ -22,6 +22,11 @@
   AdviceDispatcher(Executor &Clock, Advisor &AdvisoryService, Recorder &Log)
       : Clock(Clock), AdvisoryService(AdvisoryService), Log(Log) {}
 
+  /// Sends short requests before long ones although they are late. A late short
+  /// job is worth more than the part of a long one that the service could
+  /// answer about in the same time.
+  void preferShortRequests() { PrefersShort = true; }
+
   /// Sets the processes to ask through; an empty address is this process.
   /// Routes with an address that was there before keep their state.
   void setRoutes(const std::vector<protocol::Address> &Addresses);
@@ -88,6 +93,7 @@
   /// was sent.
   std::array<Duration, 2> TimeOfOthers{};
   bool IsRetryScheduled = false;
+  bool PrefersShort = false; ///< As `preferShortRequests`.
   std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
--- a/include/teaselwalk/cell/endpoint_table.hpp
+++ b/include/teaselwalk/cell/endpoint_table.hpp
@@ -3,6 +3,7 @@
 #include "teaselwalk/base/time.hpp"
 #include "teaselwalk/cell/clock_reading.hpp"
 #include "teaselwalk/cell/crash_suspects.hpp"
+#include "teaselwalk/cell/decisions/endpoint_record.hpp"
 #include "teaselwalk/cell/lease_horizon.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
@@ -89,6 +90,7 @@
   Duration LatestSuspension{0}; ///< Length of the latest suspension; 0: none.
   int32_t ConsecutiveFailures = 0;
   double Slowness = 1; ///< Ratio of real to usual run times, smoothed.
+  EndpointRecord Record;
   /// Share of their processors that opportunistic tasks may use, percent.
   int32_t OpportunisticCpuLimitPercent = 100;
   TimePoint CpuLimitChangedAt;
--- a/include/teaselwalk/cell/job_progress.hpp
+++ b/include/teaselwalk/cell/job_progress.hpp
@@ -2,6 +2,7 @@
 
 #include "teaselwalk/base/time.hpp"
 #include "teaselwalk/cell/crash_suspects.hpp"
+#include "teaselwalk/cell/decisions/step_run_times.hpp"
 #include "teaselwalk/cell/job.hpp"
 #include "teaselwalk/cell/ports.hpp"
 
@@ -26,6 +27,7 @@
   bool IsStartSent = false; ///< This owner has sent the start request.
   bool IsStopping = false;  ///< A stop request was sent.
   int32_t Failures = 0;     ///< Runs that ended by a failure.
+  int32_t Preemptions = 0;  ///< Runs that this owner stopped for urgent work.
   /// Crashes of endpoints that a run of this task may have caused.
   int32_t Crashes = 0;
   /// Endpoints that are silent, of which a run may have caused the crash.
@@ -81,6 +83,7 @@
   /// Latest attempt for which a failure was counted. A gang counts one for
   /// each attempt.
   int64_t FailedAttempt = 0;
+  StepRunTimes RunTimes;
 
   /// Number of waiting tasks that may have run before.
   int32_t restarting() const;
@@ -121,6 +124,8 @@
   bool IsStartPostponed = false;
   /// Submitted beyond the rate that its team is entitled to.
   bool IsOverRate = false;
+  /// Data centre in which the tasks are kept together; empty: none yet.
+  std::string HomeDataCentre;
   /// The open occurrences: they were due and have not ended.
   std::map<int32_t, OccurrenceProgress> Occurrences;
   /// The next occurrence to open. Earlier ones that are not open have ended.
--- a/include/teaselwalk/cell/owner.hpp
+++ b/include/teaselwalk/cell/owner.hpp
@@ -5,11 +5,14 @@
 #include "teaselwalk/cell/bundle_table.hpp"
 #include "teaselwalk/cell/configuration.hpp"
 #include "teaselwalk/cell/crash_suspects.hpp"
+#include "teaselwalk/cell/decisions/failure_domains.hpp"
+#include "teaselwalk/cell/decisions/urgent_room.hpp"
 #include "teaselwalk/cell/endpoint_table.hpp"
 #include "teaselwalk/cell/fenced_writer.hpp"
 #include "teaselwalk/cell/job_progress.hpp"
 #include "teaselwalk/cell/lifetime.hpp"
 #include "teaselwalk/cell/open_jobs.hpp"
+#include "teaselwalk/cell/owner_options.hpp"
 #include "teaselwalk/cell/ports.hpp"
 #include "teaselwalk/cell/room_claims.hpp"
 #include "teaselwalk/cell/room_reservations.hpp"
@@ -37,42 +40,6 @@
 
 namespace teaselwalk::cell {
 
-struct OwnerOptions {
-  Duration MaxTaskLease{6000}; ///< Longest lease an endpoint grants.
-  /// Records of a job are removed this long after its end.
-  Duration StatusKept{120000};
-  size_t MaxRecordBytes = 1048576; ///< Largest value that the store takes.
-  std::string EndpointPrefix; ///< Prefix of the discovery list in the store.
-  /// Reads an entry of the discovery list; throws `Error` if it cannot.
-  std::function<EndpointInfo(const StoreItem &)> DecodeEndpoint;
-};
-
-/// What the process provides to its owner.
-struct OwnerHooks {
-  /// Called when the store or an endpoint shows that another process has
-  /// become the owner.
-  std::function<void(const char *Reason)> OwnershipLost;
-  /// When the store last confirmed the ownership.
-  std::function<TimePoint()> OwnershipConfirmedAt;
-  const DesiredState *Desired = nullptr; ///< Outlives the owner.
-  /// When the store last confirmed `Desired`; nothing before the first time.
-  std::function<std::optional<TimePoint>()> DesiredStateConfirmedAt;
-};
-
-/// Why a step with waiting tasks is not placed.
-enum class WaitReason {
-  StaleConfiguration, ///< The store has not confirmed the desired state.
-  StartLimit,         ///< Too many starts are not answered.
-  SetAside,           ///< Its record cannot be stored, or it had a fault.
-  LateWork,           ///< It cannot be in time and the processor is short.
-  TeamLimit,
-  StartPause,   ///< After a refused start.
-  CrashVerdict, ///< Suspected crashes are not settled.
-  Advice,       ///< A request waits or is not answered.
-  AdvicePause,  ///< No endpoint to ask about, or a request has failed.
-  NoRoom
-};
-
 /// Schedules all jobs on all endpoints. Only one process at a time is the
 /// owner; `OwnerElection` chooses it. A start request is sent only after the
 /// assignment of the task to its endpoint is stored, so a later owner knows
@@ -116,6 +83,14 @@
   /// The rules for the tasks of one step.
   class StepRules;
 
+  /// Urgent work of one service.
+  struct UrgentService {
+    UrgentArrivals Arrivals;
+    UrgentDemand Waiting;
+    Resources Need;       ///< Mean need of one task, as last seen.
+    bool IsShort = false; ///< It found too little room when last checked.
+  };
+
   /// When the parts of the stored state were read.
   struct LoadTimes {
     TimePoint StateListed;  ///< The progress records have arrived.
@@ -332,7 +307,7 @@
   Duration expectedRunTime(const JobProgress &Job, const StepSpec &Step) const;
   static void addSlownessSample(TrackedEndpoint &Endpoint, double Sample,
                                 double Weight);
-  void recordRunTime(TrackedEndpoint &Endpoint, const JobProgress &Job,
+  void recordRunTime(TrackedEndpoint &Endpoint, JobProgress &Job,
                      const TaskKey &Key, const TaskProgress &Task);
   void checkProgress(TrackedEndpoint &Endpoint, const JobProgress &Job,
                      const TaskKey &Key, TaskProgress &Task, int32_t Percent);
@@ -370,6 +345,10 @@
   /// True if there is too little processor time for all work, and the job
   /// probably cannot end by its objective if \p Key is placed now.
   bool isLate(const JobProgress &Job, const StepKey &Key) const;
+  /// True if the job probably ends after its objective whatever is done. Such
+  /// jobs wait for those that can be in time: in order of their objectives all
+  /// jobs of a crowd would be just too late.
+  bool isMissed(const JobProgress &Job, const StepKey &Key) const;
   void placeStep(const BacklogStep &Next);
   /// True if a task that needs no more than \p Need found no room in this pass.
   bool hasFailedInPass(const std::string &Service, const Resources &Need) const;
@@ -379,7 +358,6 @@
   bool fitsTeamLimit(const JobProgress &Job, const Resources &Need) const;
   /// Adds a step with waiting tasks to the backlog; false if it is there.
   bool addToBacklog(JobProgress &Job, const StepKey &Key);
-  double score(const TrackedEndpoint &Endpoint, const StepSpec &Step) const;
   int32_t countTasksOn(const TrackedEndpoint &Endpoint,
                        const StepKey &Key) const;
   /// Reserves the resources of a task on an endpoint; `freeResources` frees
@@ -392,6 +370,39 @@
   void noteAssignment(const TrackedEndpoint &Endpoint,
                       TaskProgress &Task) const;
 
+  // owner_scores.cpp
+  /// Lower ones are preferred.
+  double score(const TrackedEndpoint &Endpoint, const JobProgress &Job,
+               const StepKey &Key) const;
+  /// Time that the job can spare if the step starts now; long if it has no
+  /// objective.
+  Duration slackOf(const JobProgress &Job, const StepKey &Key) const;
+  /// Chooses the data centre that keeps the tasks of \p Job together.
+  void chooseHome(JobProgress &Job, const StepKey &Key);
+  /// Looks at all endpoints: what they have free and which ones to avoid.
+  void updateFleetView();
+
+  // owner_urgent_room.cpp
+  /// True if \p Key is a step for which others may be held back or stopped.
+  bool isUrgent(const JobProgress &Job, const StepKey &Key) const;
+  /// True if the step waits because urgent work needs the room.
+  bool isHeldBack(const JobProgress &Job, const StepKey &Key) const;
+  /// True if the step is urgent and its service has too little room.
+  bool isShortOfUrgentRoom(const JobProgress &Job, const StepKey &Key) const;
+  /// What a request for advice about such a step asks for.
+  AdviceNeed urgentNeed(const JobProgress &Job, const StepKey &Key) const;
+  /// True if the step has tickets for as many endpoints as it has tasks.
+  bool hasSpareTickets(const JobProgress &Job, const StepKey &Key,
+                       const StepAdvice &Advice) const;
+  void noteUrgentArrival(const JobProgress &Job, const StepKey &Key);
+  /// Finds out whether urgent work lacks room, and stops other runs if so.
+  void makeUrgentRoom();
+  void makeUrgentRoomIn(const std::string &Service, UrgentService &State);
+  /// Adds the runs on \p Endpoint that may be stopped to \p Runs.
+  PreemptibleEndpoint preemptibleOn(const TrackedEndpoint &Endpoint,
+                                    std::vector<TaskKey> &Runs);
+  void preempt(const TaskKey &Key);
+
   // owner_watchdog.cpp
   /// Ends and reports waits that last too long; called with each tick.
   void watchProgress();
@@ -447,10 +458,10 @@
                         const std::vector<EndpointId> &Named);
   /// Waiting tasks of \p Key that ran before and may be placed now.
   int32_t startableRestarts(const JobProgress &Job, const StepKey &Key) const;
-  /// Adds endpoints to \p Named where those tasks will find room, as far as
+  /// Adds endpoints to \p Named where \p Tasks tasks will find room, as far as
   /// \p Candidates do not suffice.
   void addFuture(const JobProgress &Job, const StepKey &Key, AdviceNeed Need,
-                 const std::vector<AdviceCandidate> &Candidates,
+                 int32_t Tasks, const std::vector<AdviceCandidate> &Candidates,
                  std::vector<EndpointId> &Named);
   /// Reserves the next room for those tasks on endpoints that are allowed;
   /// \p Advice is null if all are.
@@ -467,6 +478,9 @@
   void noteGains(const std::vector<EndpointId> &Endpoints);
   void dropReservations(const StepKey &Key);
 
+  /// True if a request about the step may be sent now.
+  bool mayAskAdvice(const JobProgress &Job, const StepKey &Key,
+                    StepAdvice &Advice);
   /// False if a search would find no endpoint, as far as is known.
   bool isSearchPromising(const JobProgress &Job, const StepKey &Key,
                          StepAdvice &Advice);
@@ -547,6 +561,10 @@
       NoRoomFor;                ///< By service.
   TimePoint UsableNotedAt;      ///< Time of the latest `noteUsableEndpoints`.
   TimePoint NextRepeatedSearch; ///< The latest `StepAdvice::SearchAgainAt`.
+  DataCentreRoom CentreRoom;
+  double RiskThreshold = 1; ///< Endpoints with a higher risk are avoided.
+  TimePoint FleetViewedAt;
+  std::unordered_map<std::string, UrgentService> Urgent; ///< By service.
   LostEndpoints Lost;
   /// Tasks with suspected crashes, and others that had some.
   std::unordered_set<TaskKey> SuspectedTasks;
--- a/include/teaselwalk/cell/scheduling_pass.hpp
+++ b/include/teaselwalk/cell/scheduling_pass.hpp
@@ -21,14 +21,15 @@
   bool IsOverRate = false;  ///< Submitted beyond the rate of its team.
   bool IsLate = false;      ///< As `Owner::isLate`.
   int32_t Priority = 0;
+  bool IsMissed = false; ///< The job ends after its objective in any case.
   TimePoint Objective;
 
   /// The order in which steps are placed.
   friend bool operator<(const BacklogStep &A, const BacklogStep &B) {
     return std::tie(B.IsRestart, A.IsWorthless, A.IsOverRate, A.IsLate,
-                    A.Priority, A.Objective,
-                    A.Key) < std::tie(A.IsRestart, B.IsWorthless, B.IsOverRate,
-                                      B.IsLate, B.Priority, B.Objective, B.Key);
+                    A.Priority, A.IsMissed, A.Objective, A.Key) <
+           std::tie(A.IsRestart, B.IsWorthless, B.IsOverRate, B.IsLate,
+                    B.Priority, B.IsMissed, B.Objective, B.Key);
   }
 };
 
--- a/src/teaselwalk/cell/advice_dispatcher.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher.cpp
@@ -107,6 +107,10 @@
     AdviceQueue::Place First = Class.first(Clock.now());
     bool IsBefore = std::tie(First.Urgency, First.Deadline) <
                     std::tie(Found.At.Urgency, Found.At.Deadline);
+    // Then `Found` is a short request.
+    if (PrefersShort && Found.From != nullptr)
+      IsBefore = Found.At.Urgency > AdviceUrgency::Late ||
+                 First.Urgency == AdviceUrgency::Restart;
     if (Found.From == nullptr || IsBefore)
       Found = {&Class, First, std::move(Free)};
   }
--- a/src/teaselwalk/cell/advice_dispatcher_test.cpp
+++ b/src/teaselwalk/cell/advice_dispatcher_test.cpp
@@ -237,5 +237,22 @@
   }
 }
 
+// Guards against a crowd of short requests of which all become late because
+// long ones, which take the service twenty times as long, go first.
+TEST_F(AdviceDispatcherTest, PrefersLateShortRequestsIfAskedTo) {
+  Dispatcher.preferShortRequests();
+  Dispatcher.setRoutes({{}});
+  ask("first", 20, 1000);
+  AdviceRequest Late;
+  Late.InTimeUntil = Clock.now();
+  ask("long", 500, 500);
+  ask("short", 20, 9000, Late);
+  Clock.runFor(Duration(100));
+  answer();
+  EXPECT_EQ(latest(), "short");
+  answer();
+  EXPECT_EQ(latest(), "long");
+}
+
 } // namespace
 } // namespace teaselwalk::cell::testing
--- a/src/teaselwalk/cell/owner_advice.cpp
+++ b/src/teaselwalk/cell/owner_advice.cpp
@@ -120,6 +120,14 @@
   return false;
 }
 
+bool Owner::mayAskAdvice(const JobProgress &Job, const StepKey &Key,
+                         StepAdvice &Advice) {
+  // Room is made for such a step, so it asks before there is any.
+  if (isShortOfUrgentRoom(Job, Key))
+    return !hasSpareTickets(Job, Key, Advice);
+  return isSearchPromising(Job, Key, Advice);
+}
+
 void Owner::noteUsableEndpoints() {
   TimePoint Now = Clock.now();
   if (Now - UsableNotedAt < UsableCheckInterval)
@@ -192,7 +200,7 @@
   TimePoint Now = Clock.now();
   if (Advice.IsInFlight || Advice.NotBefore > Now)
     return;
-  if (!isSearchPromising(Job, Key, Advice))
+  if (!mayAskAdvice(Job, Key, Advice))
     return;
   AdviceNeed Need = adviceNeed(Job, Key);
   AdviceRequest Asked;
@@ -229,12 +237,15 @@
   if (Job == nullptr || Found == StepAdvices.end())
     return {};
   // The step is not placed for now, so its tickets would expire.
-  if (isLate(*Job, Key))
+  if (isLate(*Job, Key) || isHeldBack(*Job, Key))
     return {};
   AdviceNeed Need = adviceNeed(*Job, Key);
   StepAdvice &Advice = Found->second;
-  if (Need.Tasks == 0 || !isSearchPromising(*Job, Key, Advice))
+  if (Need.Tasks == 0 || !mayAskAdvice(*Job, Key, Advice))
     return {};
+  bool IsShort = isShortOfUrgentRoom(*Job, Key);
+  if (IsShort)
+    Need = urgentNeed(*Job, Key);
   const StepSpec &Step = Job->Spec.Steps[static_cast<size_t>(Key.Step)];
   std::vector<AdviceCandidate> Candidates =
       adviceCandidates(*Job, Key, Need, Advice);
@@ -242,7 +253,9 @@
   Claims.set(Key, claimsOf(Need, Step, Candidates, Named));
   if (isRestart(*Job, Key)) {
     reserveRequested(*Job, Key, Need, Named);
-    addFuture(*Job, Key, Need, Candidates, Named);
+    addFuture(*Job, Key, Need, startableRestarts(*Job, Key), Candidates, Named);
+  } else if (IsShort) {
+    addFuture(*Job, Key, Need, Need.Tasks, Candidates, Named);
   }
   return Named;
 }
--- a/src/teaselwalk/cell/owner_load.cpp
+++ b/src/teaselwalk/cell/owner_load.cpp
@@ -68,7 +68,11 @@
       Dispatcher(Clock, AdvisoryService, Log),
       HighestToken(Epoch * TokensPerEpoch + 1) {}
 
-void Owner::start() { loadState(); }
+void Owner::start() {
+  if (Options.Features.has(Feature::UrgentRoom))
+    Dispatcher.preferShortRequests();
+  loadState();
+}
 
 void Owner::loadState() {
   Storage.list(StatePrefix, LoadPageTimeout, guarded([this](StoreItems Result) {
--- a/src/teaselwalk/cell/owner_placement.cpp
+++ b/src/teaselwalk/cell/owner_placement.cpp
@@ -9,18 +9,13 @@
 namespace teaselwalk::cell {
 namespace {
 
-/// Penalties in the score of an endpoint, in thousandths of a processor: to
-/// avoid one, a task accepts an endpoint with that much more CPU left over.
-constexpr double RemoteDataPenalty = 60000;
-constexpr double InterferencePenalty = 200000;
-constexpr double SlownessPenalty = 60000;
-/// For each task that a suspected one would take along if it crashed the
-/// endpoint.
+/// Penalty in the score of an endpoint, in thousandths of a processor, for each
+/// task that a suspected one would take along if it crashed the endpoint.
 constexpr double NeighbourPenalty = 200000;
 
-/// Lower slowness is not penalised: declared run times are off by half, so it
-/// shows nothing about the endpoint.
-constexpr double MinPenalizedSlowness = 1.7;
+/// Share of the declared run time that a step surely needs: declared times are
+/// off by half.
+constexpr double SurelyNeeded = 0.6;
 
 /// How often a task that is placed waits for the scheduler's thread: its record
 /// is stored, its start is answered, its end is read.
@@ -113,6 +108,7 @@
     return false;
   Job.stateOf({Key.Job, Key.Occurrence, Key.Step, 0}).WaitingSince =
       Clock.now();
+  noteUrgentArrival(Job, Key);
   return true;
 }
 
@@ -168,6 +164,15 @@
          Job.Objective;
 }
 
+bool Owner::isMissed(const JobProgress &Job, const StepKey &Key) const {
+  if (!Options.Features.has(Feature::UrgentRoom) || !hasObjective(Job, Key))
+    return false;
+  auto Chain =
+      static_cast<double>(Job.ChainFrom[static_cast<size_t>(Key.Step)].count());
+  return Clock.now() + Duration(static_cast<int64_t>(Chain * SurelyNeeded)) >
+         Job.Objective;
+}
+
 std::vector<BacklogStep> Owner::collectBacklog(std::set<StepKey> &Keys) {
   std::vector<BacklogStep> Result;
   TimePoint Now = Clock.now();
@@ -192,6 +197,7 @@
     Next.IsOverRate = Job->IsOverRate && !Next.IsRestart;
     Next.IsLate = isLate(*Job, *It);
     Next.Priority = policyOf(*Job).Priority;
+    Next.IsMissed = isMissed(*Job, *It);
     Next.Objective = Job->Objective;
     Next.IsWorthless = hasObjective(*Job, *It) && Now > Job->worthlessAt();
     Result.push_back(std::move(Next));
@@ -220,6 +226,10 @@
       Log.count("late_steps_deferred");
       continue;
     }
+    if (isHeldBack(*Next->Job, Next->Key)) {
+      Log.count("steps_held_back");
+      continue;
+    }
     Log.count("steps_considered");
     isolateFaults(*Next->Job, [&] { placeStep(*Next); });
   }
@@ -230,6 +240,7 @@
 
 void Owner::runSchedulingPass() {
   Log.count("scheduling_passes");
+  updateFleetView();
   std::vector<BacklogStep> Steps = collectBacklog(Backlog);
   // A pass that was too short for the backlog is continued.
   auto From = NextToPlace
@@ -286,6 +297,7 @@
       Job.stateOf({Next.Key.Job, Next.Key.Occurrence, Next.Key.Step, 0});
   if (!fitsTeamLimit(Job, Step.Need))
     return;
+  chooseHome(Job, Next.Key);
   StepAdvice *Advice = adviceFor(Job, Next.Key);
   if (Step.Gang)
     return placeGang(Next, State, Advice);
@@ -369,7 +381,7 @@
     if (Step.MaxPerEndpoint > 0 &&
         countTasksOn(Endpoint, Key) >= Step.MaxPerEndpoint)
       return;
-    double Score = score(Endpoint, Step);
+    double Score = score(Endpoint, Job, Key);
     if (IsSuspected)
       Score += NeighbourPenalty * static_cast<double>(Endpoint.Tasks.size());
     if (Score >= BestScore)
@@ -411,24 +423,6 @@
   return Best;
 }
 
-double Owner::score(const TrackedEndpoint &Endpoint,
-                    const StepSpec &Step) const {
-  // Best fit: prefers the endpoint with the least free CPU.
-  auto Score = static_cast<double>(Endpoint.freeCapacity().MilliCpu -
-                                   Endpoint.OpportunisticCpu);
-  // An opportunistic task uses idle CPU, so it prefers the most free CPU.
-  if (Step.Opportunistic)
-    Score = -Score;
-  if (!Step.DataRack.empty() && Endpoint.rack() != Step.DataRack)
-    Score += RemoteDataPenalty;
-  if (Step.Opportunistic && Endpoint.ServingTasks > 0)
-    Score += InterferencePenalty;
-  if (Step.TailTarget.count() > 0 && Endpoint.OpportunisticTasks > 0)
-    Score += InterferencePenalty;
-  return Score + SlownessPenalty *
-                     std::max(0.0, Endpoint.Slowness - MinPenalizedSlowness);
-}
-
 int32_t Owner::countTasksOn(const TrackedEndpoint &Endpoint,
                             const StepKey &Key) const {
   return static_cast<int32_t>(std::count_if(
--- a/src/teaselwalk/cell/owner_progress.cpp
+++ b/src/teaselwalk/cell/owner_progress.cpp
@@ -46,7 +46,7 @@
   Endpoint.Slowness = Endpoint.Slowness * (1 - Weight) + Bounded * Weight;
 }
 
-void Owner::recordRunTime(TrackedEndpoint &Endpoint, const JobProgress &Job,
+void Owner::recordRunTime(TrackedEndpoint &Endpoint, JobProgress &Job,
                           const TaskKey &Key, const TaskProgress &Task) {
   const StepSpec &Step = Job.stepOf(Key);
   bool IsFullRun = Task.StartConfirmedAt != TimePoint() &&
@@ -54,8 +54,10 @@
                    !Step.Service && !Step.Opportunistic;
   if (!IsFullRun)
     return;
-  auto RunTimeMs =
-      static_cast<double>((Clock.now() - Task.StartConfirmedAt).count());
+  Duration RunTime = Clock.now() - Task.StartConfirmedAt;
+  if (std::optional<double> Ratio = Job.stateOf(Key).RunTimes.add(RunTime))
+    Endpoint.Record.addRunTime(*Ratio);
+  auto RunTimeMs = static_cast<double>(RunTime.count());
   auto ExpectedMs = static_cast<double>(expectedRunTime(Job, Step).count());
   addSlownessSample(Endpoint, RunTimeMs / ExpectedMs, EndedSampleWeight);
   double Ratio = RunTimeMs / static_cast<double>(
--- a/src/teaselwalk/cell/owner_renewals.cpp
+++ b/src/teaselwalk/cell/owner_renewals.cpp
@@ -94,8 +94,10 @@
     Endpoint.IsIncarnationConfirmed = false;
     Endpoint.IsCpuLimitSettled = false;
     Log.count("renewals_failed");
-    if (Result.Outcome != EndpointOutcome::StaleToken)
+    if (Result.Outcome != EndpointOutcome::StaleToken) {
+      Endpoint.Record.addUnanswered(Now);
       noteFailure(Endpoint);
+    }
     if (Result.Outcome == EndpointOutcome::StaleToken &&
         Call.Token == Endpoint.Token)
       return Hooks.OwnershipLost("an endpoint has seen a higher token");
@@ -208,6 +210,7 @@
   if (End.Outcome == RunOutcome::Done) {
     Endpoint.ConsecutiveFailures = 0;
     Endpoint.LatestSuspension = Duration(0);
+    Endpoint.Record.addSuccess(Clock.now());
     if (IsCurrent)
       recordRunTime(Endpoint, *Job, End.Task, *Task);
     // The success of an earlier run that was taken for lost counts as well.
@@ -218,6 +221,7 @@
   if (End.Outcome != RunOutcome::Failed)
     return releaseTask(
         End.Task, std::string(nameOf(RunOutcomeNames, End.Outcome)).c_str());
+  Endpoint.Record.addFailure(Clock.now());
   if (++Endpoint.ConsecutiveFailures >= FailuresToSuspend)
     suspendEndpoint(Endpoint, FirstSuspension * 2);
   failTask(*Job, End.Task);
--- a/src/teaselwalk/cell/owner_requests.cpp
+++ b/src/teaselwalk/cell/owner_requests.cpp
@@ -211,6 +211,7 @@
       raiseFencingToken(Endpoint);
   }
   if (Result.Outcome == EndpointOutcome::Done) {
+    Endpoint.Record.addSuccess(Clock.now());
     Task->IsIncarnationProven = Origin == ClockOrigin::Same;
     Task->StartConfirmedAt = Clock.now();
     Task->Phase = TaskPhase::Running;
@@ -226,6 +227,7 @@
                                      {"token", std::to_string(Call.Token)},
                                      {"outcome", Outcome}});
   if (Result.Outcome == EndpointOutcome::Unknown) {
+    Endpoint.Record.addUnanswered(Clock.now());
     noteFailure(Endpoint);
     // Once the endpoint has seen a higher token, it refuses the request if it
     // arrives late, and its list of runs shows whether the task has started.
@@ -244,8 +246,10 @@
   bool IsEndpointFault = Result.Outcome == EndpointOutcome::Unavailable ||
                          Result.Outcome == EndpointOutcome::WrongIncarnation ||
                          Result.Outcome == EndpointOutcome::NoRoom;
-  if (IsEndpointFault)
+  if (IsEndpointFault) {
+    Endpoint.Record.addFailure(Clock.now());
     suspendEndpoint(Endpoint, FirstSuspension);
+  }
   Task->NotBefore = Clock.now() + (Result.Outcome == EndpointOutcome::Invalid
                                        ? InvalidStartPause
                                        : RefusedStartPause);
--- a/src/teaselwalk/cell/owner_reservations.cpp
+++ b/src/teaselwalk/cell/owner_reservations.cpp
@@ -43,14 +43,14 @@
 }
 
 void Owner::addFuture(const JobProgress &Job, const StepKey &Key,
-                      AdviceNeed Need,
+                      AdviceNeed Need, int32_t Tasks,
                       const std::vector<AdviceCandidate> &Candidates,
                       std::vector<EndpointId> &Named) {
   double Expected = 0;
   for (const AdviceCandidate &Next : Candidates)
     Expected += (Next.IsAllowed ? 1 : Need.AllowedShare) *
                 static_cast<double>(Next.Places);
-  Need.Tasks = startableRestarts(Job, Key) - static_cast<int32_t>(Expected);
+  Need.Tasks = Tasks - static_cast<int32_t>(Expected);
   if (Need.Tasks <= 0 || Need.StartsTogether)
     return;
   auto Asked = StepAdvices.find(Key);
--- a/src/teaselwalk/cell/owner_step_rules.hpp
+++ b/src/teaselwalk/cell/owner_step_rules.hpp
@@ -8,7 +8,6 @@
 public:
   StepRules(const Owner &Parent, const JobProgress &Job, const StepKey &Key)
       : Parent(Parent), Job(Job), Key(Key),
-        Step(Job.Spec.Steps[static_cast<size_t>(Key.Step)]),
         Service(Parent.policyOf(Job).Service), Now(Parent.Clock.now()) {}
 
   bool mayStartOn(const TrackedEndpoint &Endpoint) const override {
@@ -21,7 +20,7 @@
     return Parent.countTasksOn(Endpoint, Key);
   }
   double score(const TrackedEndpoint &Endpoint) const override {
-    return Parent.score(Endpoint, Step);
+    return Parent.score(Endpoint, Job, Key);
   }
   Resources keptRoom(const EndpointId &Endpoint) const override {
     // What open requests may use is claimed already.
@@ -34,7 +33,6 @@
   const Owner &Parent;
   const JobProgress &Job;
   const StepKey &Key;
-  const StepSpec &Step;
   const std::string &Service;
   const TimePoint Now;
 };
--- a/src/teaselwalk/cell/owner_watchdog.cpp
+++ b/src/teaselwalk/cell/owner_watchdog.cpp
@@ -41,11 +41,12 @@
 constexpr Duration WaitReportInterval{1000};
 constexpr Duration ShortestReportedWait{1000};
 
-constexpr std::array<EnumName<WaitReason>, 10> WaitReasonNames = {{
+constexpr std::array<EnumName<WaitReason>, 11> WaitReasonNames = {{
     {WaitReason::StaleConfiguration, "stale_configuration"},
     {WaitReason::StartLimit, "start_limit"},
     {WaitReason::SetAside, "set_aside"},
     {WaitReason::LateWork, "late_work"},
+    {WaitReason::UrgentWork, "urgent_work"},
     {WaitReason::TeamLimit, "team_limit"},
     {WaitReason::StartPause, "start_pause"},
     {WaitReason::CrashVerdict, "crash_verdict"},
@@ -225,6 +226,8 @@
     return WaitReason::StartLimit;
   if (isLate(Job, Key))
     return WaitReason::LateWork;
+  if (isHeldBack(Job, Key))
+    return WaitReason::UrgentWork;
   if (!fitsTeamLimit(Job, Step.Need))
     return WaitReason::TeamLimit;
   auto HasAll = [&](auto IsHeld) {
--- a/src/teaselwalk/cell/testing/fake_world.hpp
+++ b/src/teaselwalk/cell/testing/fake_world.hpp
@@ -72,6 +72,7 @@
   Duration StatusKept{3600000};
   /// CPU cores of the processes by index; 1 where there is no entry.
   std::map<size_t, double> CoresOf;
+  FeatureSet Features; ///< Of all processes that are added later.
   /// Path of the queue to which `send` submits.
   std::string QueuePath = "/batch/";
 
@@ -340,6 +341,7 @@
   auto Entry = World.CoresOf.find(static_cast<size_t>(Number % 100));
   if (Entry != World.CoresOf.end())
     Options.Cores = Entry->second;
+  Options.Owner.Features = World.Features;
   Options.Owner.EndpointPrefix = EntryPrefix;
   Options.Owner.MaxTaskLease = World.Cluster.MaxLease;
   Options.Owner.StatusKept = World.StatusKept;
