--- a/src/teaselwalk/http/server_limits_test.cpp
+++ b/src/teaselwalk/http/server_limits_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
+#include <memory>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -13,8 +15,6 @@
 namespace teaselwalk::http {
 namespace {
 
-using protocol::Delivery;
-
 /// A client that sends raw text and may stop half-way.
 class RawClient {
 public:
@@ -125,9 +125,9 @@
   ServerOptions Options;
   Options.MaxConnections = 3;
   start(Options);
-  std::vector<std::unique_ptr<RawClient>> Silent;
-  for (int I = 0; I < 8; ++I)
-    Silent.push_back(std::make_unique<RawClient>(Running->port()));
+  std::array<std::unique_ptr<RawClient>, 8> Silent;
+  for (std::unique_ptr<RawClient> &Each : Silent)
+    Each = std::make_unique<RawClient>(Running->port());
   EXPECT_EQ(send({"POST", "/", "body"}).Message.Status, 200);
   EXPECT_GE(rejected(Rejection::Evicted), 5);
 }
