--- a/review/kit-2/deployment.cpp
+++ b/review/kit-2/deployment.cpp
@@ -282,12 +282,19 @@
 void Deployment::onStart(const soak::EndpointStandIn &Where,
                          const soak::TaskName &Task, int64_t Attempt,
                          const std::string &) {
+  bool IsSecond = false;
   {
     std::lock_guard<std::mutex> Lock(CountMutex);
     ++Starts[Task.Job];
+    auto &Held = Runs[Task.Text];
+    Held.emplace(Where.options().Id, Attempt);
+    IsSecond = Held.size() > 1;
+    if (IsSecond)
+      RunTwice.insert(Task.Text);
   }
   record("worker " + Where.options().Id + " starts " + Task.Text + " run " +
-         std::to_string(Attempt));
+         std::to_string(Attempt) +
+         (IsSecond ? " while another run is at work" : ""));
 }
 
 void Deployment::onEnd(const soak::EndpointStandIn &Where,
@@ -296,6 +303,7 @@
   {
     std::lock_guard<std::mutex> Lock(CountMutex);
     ++Ends[{Task.Job, How}];
+    Runs[Task.Text].erase({Where.options().Id, Attempt});
   }
   record("worker " + Where.options().Id + " ended " + Task.Text + " run " +
          std::to_string(Attempt) + ' ' + How);
@@ -303,11 +311,22 @@
 
 void Deployment::onCrash(const soak::EndpointStandIn &Where,
                          const soak::TaskName &Task) {
+  {
+    std::lock_guard<std::mutex> Lock(CountMutex);
+    auto &Held = Runs[Task.Text];
+    for (auto It = Held.begin(); It != Held.end();)
+      It = It->first == Where.options().Id ? Held.erase(It) : std::next(It);
+  }
   record("worker " + Where.options().Id + " crashed under " + Task.Text);
 }
 
 void Deployment::onNoted(const soak::NotedEnd &) {}
 
+std::set<std::string> Deployment::tasksRunTwice() {
+  std::lock_guard<std::mutex> Lock(CountMutex);
+  return RunTwice;
+}
+
 int Deployment::memoryMb(int Number) {
   Entry &Each = Entries[static_cast<size_t>(Number)];
   if (!Each.Process->isRunning())
--- a/review/kit-2/deployment.hpp
+++ b/review/kit-2/deployment.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -93,6 +94,10 @@
   int startsOf(const std::string &Id);
   int endsOf(const std::string &Id, const std::string &How);
 
+  /// Tasks of which two runs were at work at the same time, on workers that
+  /// were up.
+  std::set<std::string> tasksRunTwice();
+
   /// Resident memory of entry \p Entry in MB; 0: it does not run.
   int memoryMb(int Entry);
   /// Ends a process that exceeds its memory, as the platform does, and starts
@@ -144,6 +149,9 @@
   std::mutex CountMutex;
   std::map<std::string, int> Starts;
   std::map<std::pair<std::string, std::string>, int> Ends;
+  /// The runs of each task as worker and attempt.
+  std::map<std::string, std::set<std::pair<std::string, int64_t>>> Runs;
+  std::set<std::string> RunTwice;
 };
 
 /// Waits on the real clock.
--- /dev/null
+++ b/review/kit-2/twice.cpp
@@ -0,0 +1,72 @@
+// A worker is silent, starts again under its id and carries out the orders of
+// the time before late: no task may run twice at the same time.
+
+#include "deployment.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+using namespace teaselwalk;
+using namespace teaselwalk::review;
+
+namespace {
+
+/// From the silence of the worker to its start. Orders are carried out 2 to
+/// 12 s late.
+constexpr Duration Silence{9000};
+constexpr Duration SettleTime{4000};
+constexpr int Tasks = 8;
+constexpr Duration TaskLength{30000};
+
+std::string bodyOf(int Count) {
+  soak::Work Plan;
+  Plan.Length = TaskLength;
+  Plan.MilliCpu = 1000;
+  return nlohmann::json{{"spec", Plan.encode()},
+                        {"steps",
+                         {{{"count", Count},
+                           {"cpu", 1000},
+                           {"task_memory_mb", 256},
+                           {"estimated_ms", TaskLength.count()}}}}}
+      .dump();
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  if (Count != 2)
+    return CouldNotRun;
+  Deployment Site({}, Words[1]);
+  if (!Site.start())
+    return CouldNotRun;
+  // The owner places further tasks on the worker that has some already.
+  std::string First = Deployment::idOf(1);
+  Site.sendUntilAnswered("POST", First, bodyOf(1), Duration(5000));
+  pauseFor(Duration(3000));
+  soak::EndpointStandIn *Hit = nullptr;
+  Site.onHost([&] { Hit = Site.holderOf(First + ".0.0.0"); });
+  if (Hit == nullptr)
+    return CouldNotRun;
+  if (isTroubled()) {
+    Site.onHost([&] { Hit->fallSilent(); });
+    Site.record("worker " + Hit->options().Id + " falls silent");
+  }
+  Answer Taken = Site.sendUntilAnswered("POST", Deployment::idOf(2),
+                                        bodyOf(Tasks), Duration(5000));
+  if (Taken.Status != 200)
+    return CouldNotRun;
+  pauseFor(Silence);
+  if (isTroubled()) {
+    Site.onHost([&] { Hit->restart(); });
+    Site.record("worker " + Hit->options().Id + " has started again");
+  }
+  pauseFor(SettleTime);
+  std::set<std::string> Twice = Site.tasksRunTwice();
+  for (const std::string &Task : Twice)
+    Site.record("two runs of " + Task + " were at work at the same time");
+  bool IsBroken = !Twice.empty();
+  std::cout << (IsBroken ? "TWICE broken: " : "held: ") << Twice.size()
+            << " tasks ran twice at the same time" << std::endl;
+  return IsBroken ? RuleBroken : RuleHeld;
+}
