--- a/review/kit-2/burst.cpp
+++ b/review/kit-2/burst.cpp
@@ -15,7 +15,7 @@
 /// `cancel_ms` and `stop_timeout_ms` of the pages.
 constexpr Duration CancelBound{3000};
 constexpr Duration StopBound{900};
-constexpr int BurstSize = 40;
+constexpr int BurstSize = 60;
 /// Below `max_body_bytes`, which is 262,144.
 constexpr int LargeBody = 250000;
 constexpr int OrdinaryBody = 400;
