--- a/review/kit-2/deployment.cpp
+++ b/review/kit-2/deployment.cpp
@@ -133,7 +133,7 @@
        {"base", "drain", "config", "sched", "tenants", "quota", "places",
         "platform"}},
       {"bounds",
-       {{"hold_max_ms", 6000},
+       {{"hold_max_ms", soak::MaxLease.count()},
         {"revocation_ms", 5000},
         {"grace_period_s", 6},
         {"status_s", 120}}},
--- a/review/kit-2/deployment.hpp
+++ b/review/kit-2/deployment.hpp
@@ -31,7 +31,7 @@
   int Entries = 3;
   int Workers = 12;
   int WorkerMilliCpu = 64000;
-  int WorkerMemoryMb = 131072;
+  int WorkerMemoryMb = 262144;
   /// `limits.memory_mb` of an entry machine.
   int MemoryLimitMb = 260;
   int MaxAttempts = 2;
--- a/review/kit-2/twice.cpp
+++ b/review/kit-2/twice.cpp
@@ -1,5 +1,5 @@
-// A worker is silent, starts again under its id and carries out the orders of
-// the time before late: no task may run twice at the same time.
+// A worker crashes, starts again under its id behind a cut and carries out the
+// orders of the time before late: no task may run twice at the same time.
 
 #include "deployment.hpp"
 
@@ -12,9 +12,11 @@
 
 namespace {
 
-/// From the silence of the worker to its start. Orders are carried out 2 to
-/// 12 s late.
-constexpr Duration Silence{9000};
+/// From the crash of the worker to its start, when it carries out the orders.
+constexpr Duration DownTime{4500};
+/// The worker is cut off from shortly before its start on.
+constexpr Duration CutBeforeStart{100};
+constexpr Duration CutTime{5500};
 constexpr Duration SettleTime{4000};
 constexpr int Tasks = 8;
 constexpr Duration TaskLength{30000};
@@ -50,17 +52,27 @@
     return CouldNotRun;
   if (isTroubled()) {
     Site.onHost([&] { Hit->fallSilent(); });
-    Site.record("worker " + Hit->options().Id + " falls silent");
+    Site.record("worker " + Hit->options().Id + " crashes");
   }
   Answer Taken = Site.sendUntilAnswered("POST", Deployment::idOf(2),
                                         bodyOf(Tasks), Duration(5000));
   if (Taken.Status != 200)
     return CouldNotRun;
-  pauseFor(Silence);
+  pauseFor(DownTime - CutBeforeStart);
+  if (isTroubled()) {
+    Site.onHost([&] { Hit->cut(); });
+    Site.record("worker " + Hit->options().Id + " is cut off");
+  }
+  pauseFor(CutBeforeStart);
   if (isTroubled()) {
     Site.onHost([&] { Hit->restart(); });
     Site.record("worker " + Hit->options().Id + " has started again");
   }
+  pauseFor(CutTime - CutBeforeStart);
+  if (isTroubled()) {
+    Site.onHost([&] { Hit->heal(); });
+    Site.record("worker " + Hit->options().Id + " is cut off no more");
+  }
   pauseFor(SettleTime);
   std::set<std::string> Twice = Site.tasksRunTwice();
   for (const std::string &Task : Twice)
