--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into target/review-2/.
+# Builds the cases 6 to 9 and their stand-ins into target/review-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
@@ -12,10 +12,8 @@
   target/src/teaselwalk/protocol/libteaselwalk_protocol.a
   target/src/teaselwalk/base/libteaselwalk_base.a
 )
-for source in review/kit-2/*.cpp; do
-  name=$(basename "$source" .cpp)
-  case "$name" in deployment | node_process) continue ;; esac
-  g++ -std=c++17 -O1 -Wall -Iinclude -I. -Iplatform/soak -Ireview/kit-2 \
-    "$source" review/kit-2/deployment.cpp review/kit-2/node_process.cpp "${libraries[@]}" -lcrypto -lpthread \
-    -o "target/review-2/$name"
+for number in 6 7 8 9; do
+  g++ -std=c++17 -O1 -Wall -Iinclude -I. -Iplatform/soak -Ireview \
+    "review/$number/case.cpp" review/deployment-2.cpp review/node_process-2.cpp \
+    "${libraries[@]}" -lcrypto -lpthread -o "target/review-2/case-$number"
 done
--- a/review/kit-2/deployment.cpp
+++ b/review/deployment-2.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "deployment-2.hpp"
 
 #include "teaselwalk/base/error.hpp"
 
--- a/review/kit-2/deployment.hpp
+++ b/review/deployment-2.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "endpoint.hpp"
-#include "node_process.hpp"
+#include "node_process-2.hpp"
 #include "store.hpp"
 
 #include "teaselwalk/fakes/http_host.hpp"
--- a/review/kit-2/node_process.cpp
+++ b/review/node_process-2.cpp
@@ -1,4 +1,4 @@
-#include "node_process.hpp"
+#include "node_process-2.hpp"
 
 #include <array>
 #include <csignal>
