--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.hpp"
 
+#include <openssl/evp.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <spawn.h>
@@ -7,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -26,6 +29,8 @@
 constexpr Duration SupervisionInterval{50};
 /// The longest text of a message in the record.
 constexpr size_t RecordedBytes = 200;
+/// Holds the leader's record.
+constexpr const char *LeaderKey = "teaselwalk/owner";
 constexpr uint16_t PeerPorts = 16;
 constexpr std::array<const char *, 3> Zones = {"za", "zb", "zc"};
 
@@ -39,6 +44,18 @@
   return 0;
 }
 
+std::string fromBase64(const std::string &Text) {
+  std::string Bytes(Text.size() / 4 * 3 + 1, '\0');
+  int Length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  Bytes.resize(static_cast<size_t>(std::max(Length, 0)));
+  while (!Bytes.empty() && Bytes.back() == '\0')
+    Bytes.pop_back();
+  return Bytes;
+}
+
 } // namespace
 
 bool hasTrouble() {
@@ -282,4 +299,26 @@
        });
 }
 
+void Deployment::findLeader(std::function<void(Entry *)> Found) {
+  http::Request Message;
+  Message.Target = std::string("/kv-key?key=") + LeaderKey;
+  Client.send({StoreIp, StorePort}, Message, Patience,
+              [this, Found = std::move(Found)](const http::Result &Answer) {
+                Json Item = Json::parse(Answer.Message.Body, nullptr, false);
+                std::string Value =
+                    Item.is_object() ? Item.value("value", "") : "";
+                Host.after(Duration(0), [this, Value, Found] {
+                  Json Record =
+                      Json::parse(fromBase64(Value), nullptr, false);
+                  std::string Id =
+                      Record.is_object() ? Record.value("process", "") : "";
+                  for (Entry &Each : Entries)
+                    if (Id.compare(0, Each.Name.size() + 1, Each.Name + '#') ==
+                        0)
+                      return Found(&Each);
+                  Found(nullptr);
+                });
+              });
+}
+
 } // namespace review
--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -113,6 +113,10 @@
   /// Submits until it is accepted, at one process after the other.
   void submit(const std::string &Id, const Json &Submission,
               std::function<void()> OnAccepted);
+  /// Tells \p Found the process that last became the leader, as the platform's
+  /// store shows it; null if it shows none.
+  void findLeader(std::function<void(Entry *)> Found);
+
   fakes::HttpHost Host;
   Record Log;
   std::unique_ptr<soak::StoreStandIn> Store;
