review 12: AVAIL when open connections to the workers go silent

The leases of three of four tasks of a step with max_unavailable 1 lapse 3.9 to 4.6 s after the connections went silent, though new ones work: each renewal is sent on the next silent connection of the pool.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -16,12 +16,12 @@
   target/src/teaselwalk/protocol/libteaselwalk_protocol.a
   target/src/teaselwalk/base/libteaselwalk_base.a
 )
-for part in deployment worker; do
+for part in deployment worker proxy; do
   g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -I. -c "review/stand-ins-3/$part.cpp" -o "$out/$part.o"
 done
 for case in review/1[1-5]/case.cpp; do
   [ -e "$case" ] || continue
   number=$(basename "$(dirname "$case")")
-  g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -I. "$case" "$out/deployment.o" "$out/worker.o" \
+  g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -I. "$case" "$out/deployment.o" "$out/worker.o" "$out/proxy.o" \
     -Wl,--start-group "${libraries[@]}" -Wl,--end-group -lcrypto -pthread -o "$out/case-$number"
 done
--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -1,7 +1,5 @@
 #include "deployment.hpp"
 
-#include <openssl/evp.h>
-
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <spawn.h>
@@ -9,7 +7,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -24,38 +21,15 @@
 constexpr const char *Binary = "target/teaselwalk";
 constexpr const char *SettingsVariable = "TEASELWALK_BOOT";
 constexpr const char *QueueHost = "queue.example";
+constexpr const char *Key = "tenant-key";
 constexpr Duration Patience{3000};
 constexpr Duration RetryPause{300};
-constexpr Duration SupervisionInterval{50};
+constexpr Duration SupervisionInterval{200};
 /// The longest text of a message in the record.
 constexpr size_t RecordedBytes = 200;
-/// Holds the leader's record.
-constexpr const char *LeaderKey = "teaselwalk/owner";
 constexpr uint16_t PeerPorts = 16;
 constexpr std::array<const char *, 3> Zones = {"za", "zb", "zc"};
 
-int64_t memoryMb(pid_t Pid) {
-  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
-  for (std::string Name; Status >> Name;) {
-    int64_t Kilobytes = 0;
-    if (Name == "VmRSS:" && Status >> Kilobytes)
-      return Kilobytes / 1024;
-  }
-  return 0;
-}
-
-std::string fromBase64(const std::string &Text) {
-  std::string Bytes(Text.size() / 4 * 3 + 1, '\0');
-  int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  Bytes.resize(static_cast<size_t>(std::max(Length, 0)));
-  while (!Bytes.empty() && Bytes.back() == '\0')
-    Bytes.pop_back();
-  return Bytes;
-}
-
 } // namespace
 
 bool hasTrouble() {
@@ -119,8 +93,8 @@
   std::string Boot = std::string(SettingsVariable) + '=' + SettingsFile;
   std::string Path = std::string("PATH=") + std::getenv("PATH");
   std::array<char *, 3> Environment{Boot.data(), Path.data(), nullptr};
-  int Failure = posix_spawn(&Pid, Binary, &Files, &Attributes,
-                            Arguments.data(), Environment.data());
+  int Failure = posix_spawn(&Pid, Binary, &Files, &Attributes, Arguments.data(),
+                            Environment.data());
   posix_spawnattr_destroy(&Attributes);
   posix_spawn_file_actions_destroy(&Files);
   if (Failure != 0) {
@@ -153,24 +127,25 @@
   StoreIp = workerIp(-1);
   StorePort = freePort(StoreIp);
   Store = std::make_unique<soak::StoreStandIn>(Host, StoreIp, StorePort, 1);
-  Json Route = {{"name", "work"},           {"host", QueueHost},
-                {"path_prefix", PathPrefix}, {"service", Service},
-                {"priority", 0},             {"max_attempts", 2},
-                {"slack_factor", 1.5},       {"target_duration_ms", 500},
-                {"timeout_ms", 3000},        {"public", false}};
-  Route.update(Options.Route);
-  Store->put("op/config", Json{{"version", 1},
-                               {"routes", {Route}},
-                               {"services", {{{"name", Service}}}},
-                               {"limits", {{"max_body_bytes", 262144}}},
-                               {"tenants",
-                                {{{"name", "tenant"},
-                                  {"api_keys", {TenantKey}},
-                                  {"weight", 100}},
-                                 {{"name", "second"},
-                                  {"api_keys", {SecondKey}},
-                                  {"weight", 100}}}}}
-                              .dump());
+  Json Route = {{"name", "work"},
+                {"host", QueueHost},
+                {"path_prefix", PathPrefix},
+                {"service", Service},
+                {"priority", 0},
+                {"max_attempts", 2},
+                {"slack_factor", 1.5},
+                {"target_duration_ms", 500},
+                {"timeout_ms", 3000},
+                {"public", false}};
+  Store->put(
+      "op/config",
+      Json{{"version", 1},
+           {"routes", {Route}},
+           {"services", {{{"name", Service}}}},
+           {"limits", {{"max_body_bytes", 262144}}},
+           {"tenants",
+            {{{"name", "tenant"}, {"api_keys", {Key}}, {"weight", 100}}}}}
+          .dump());
   for (int I = 0; I < Options.Entries; ++I) {
     Entry Next;
     Next.Name = "frontend-" + std::to_string(I);
@@ -205,63 +180,56 @@
 Json Deployment::settingsOf(const Entry &Of, int Number,
                             uint16_t PeerPort) const {
   auto At = [&Of](uint16_t Port) { return Of.Ip + ':' + std::to_string(Port); };
-  return {{"node_name", Of.Name},
-          {"role", "entry"},
-          {"machine_class", "frontend"},
-          {"serves", {"frontend"}},
-          {"ip", Of.Ip},
-          {"zone", Zones[static_cast<size_t>(Number) % Zones.size()]},
-          {"region", "r"},
-          {"zones", {{"za", "r"}, {"zb", "r"}, {"zc", "r"}}},
-          {"listen_addresses",
-           {{"frontend", At(Of.CallersPort)},
-            {"readiness", At(freePort(Of.Ip))}}},
-          {"internal_port_range", {PeerPort, PeerPort + PeerPorts - 1}},
-          {"bootstrap", true},
-          {"limits",
-           {{"cpu_share", 0.25},
-            {"cores", 1},
-            {"memory_mb", Options.MemoryMb},
-            {"max_file_descriptors", 4100},
-            {"link_mbps", 1000.0},
-            {"disk_mb", 0}}},
-          {"data_dir", nullptr},
-          {"heartbeat_interval_ms", 1500},
-          {"contracts",
-           {"base", "drain", "config", "cost", "recover", "sched", "tenants",
-            "quota", "places", "platform", "advice", "upkeep", "sharing"}},
-          {"bounds", Options.Bounds},
-          {"control_mode", "call"},
-          {"platform",
-           {{"address", StoreIp + ':' + std::to_string(StorePort)},
-            {"form", "kv"},
-            {"writes_per_s", 400},
-            {"reads_per_s", 2000},
-            {"history_s", 20},
-            {"value_bytes", 1048576},
-            {"ttl_min_ms", 1000}}}};
+  return {
+      {"node_name", Of.Name},
+      {"role", "entry"},
+      {"machine_class", "frontend"},
+      {"serves", {"frontend"}},
+      {"ip", Of.Ip},
+      {"zone", Zones[static_cast<size_t>(Number) % Zones.size()]},
+      {"region", "r"},
+      {"zones", {{"za", "r"}, {"zb", "r"}, {"zc", "r"}}},
+      {"listen_addresses",
+       {{"frontend", At(Of.CallersPort)}, {"readiness", At(freePort(Of.Ip))}}},
+      {"internal_port_range", {PeerPort, PeerPort + PeerPorts - 1}},
+      {"bootstrap", true},
+      {"limits",
+       {{"cpu_share", 0.25},
+        {"cores", 1},
+        {"memory_mb", 260},
+        {"max_file_descriptors", 4100},
+        {"link_mbps", 1000.0},
+        {"disk_mb", 0}}},
+      {"data_dir", nullptr},
+      {"heartbeat_interval_ms", 1500},
+      {"contracts",
+       {"base", "drain", "config", "cost", "recover", "sched", "tenants",
+        "quota", "places", "platform", "advice", "upkeep", "sharing"}},
+      {"bounds", Options.Bounds},
+      {"control_mode", "call"},
+      {"platform",
+       {{"address", StoreIp + ':' + std::to_string(StorePort)},
+        {"form", "kv"},
+        {"writes_per_s", 400},
+        {"reads_per_s", 2000},
+        {"history_s", 20},
+        {"value_bytes", 1048576},
+        {"ttl_min_ms", 1000}}}};
 }
 
 void Deployment::supervise() {
   Host.after(SupervisionInterval, [this] { supervise(); });
   for (Entry &Each : Entries) {
-    if (!Each.Process->isRunning()) {
-      Log.add(Each.Name + " starts");
-      Each.Process->start();
+    if (Each.Process->isRunning())
       continue;
-    }
-    int64_t Used = memoryMb(Each.Process->pid());
-    if (Used <= Options.MemoryMb)
-      continue;
-    Log.add(Each.Name + " has " + std::to_string(Used) +
-            " MB, over memory_mb, and is killed");
-    Each.Process->signal(SIGKILL);
+    Log.add(Each.Name + " starts");
+    Each.Process->start();
   }
 }
 
 void Deployment::send(const Entry &To, const std::string &Method,
                       const std::string &Id, const std::string &Body,
-                      Done OnAnswer, const std::string &Key) {
+                      Done OnAnswer) {
   http::Request Message;
   Message.Method = Method;
   Message.Target = PathPrefix + Id;
@@ -271,19 +239,19 @@
   Message.Headers.emplace_back("Deadline-Ms", std::to_string(Patience.count()));
   std::string What = Method + ' ' + PathPrefix + Id + " to " + To.Name;
   Log.add(What);
-  Client.send({To.Ip, To.CallersPort}, Message, Patience,
-              [this, What, OnAnswer = std::move(OnAnswer)](
-                  const http::Result &Answer) {
-                bool IsAnswered =
-                    Answer.State == teaselwalk::protocol::Delivery::Answered;
-                int Status = IsAnswered ? Answer.Message.Status : 0;
-                std::string Text = Answer.Message.Body;
-                Host.after(Duration(0), [this, What, Status, Text, OnAnswer] {
-                  Log.add(What + " is answered " + std::to_string(Status) +
-                          ' ' + Text.substr(0, RecordedBytes));
-                  OnAnswer(Status, Text);
-                });
-              });
+  Client.send(
+      {To.Ip, To.CallersPort}, Message, Patience,
+      [this, What, OnAnswer = std::move(OnAnswer)](const http::Result &Answer) {
+        bool IsAnswered =
+            Answer.State == teaselwalk::protocol::Delivery::Answered;
+        int Status = IsAnswered ? Answer.Message.Status : 0;
+        std::string Text = Answer.Message.Body;
+        Host.after(Duration(0), [this, What, Status, Text, OnAnswer] {
+          Log.add(What + " is answered " + std::to_string(Status) + ' ' +
+                  Text.substr(0, RecordedBytes));
+          OnAnswer(Status, Text);
+        });
+      });
 }
 
 void Deployment::submit(const std::string &Id, const Json &Submission,
@@ -299,26 +267,4 @@
        });
 }
 
-void Deployment::findLeader(std::function<void(Entry *)> Found) {
-  http::Request Message;
-  Message.Target = std::string("/kv-key?key=") + LeaderKey;
-  Client.send({StoreIp, StorePort}, Message, Patience,
-              [this, Found = std::move(Found)](const http::Result &Answer) {
-                Json Item = Json::parse(Answer.Message.Body, nullptr, false);
-                std::string Value =
-                    Item.is_object() ? Item.value("value", "") : "";
-                Host.after(Duration(0), [this, Value, Found] {
-                  Json Record =
-                      Json::parse(fromBase64(Value), nullptr, false);
-                  std::string Id =
-                      Record.is_object() ? Record.value("process", "") : "";
-                  for (Entry &Each : Entries)
-                    if (Id.compare(0, Each.Name.size() + 1, Each.Name + '#') ==
-                        0)
-                      return Found(&Each);
-                  Found(nullptr);
-                });
-              });
-}
-
 } // namespace review
--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -75,10 +75,6 @@
   pid_t Pid = 0;
 };
 
-/// The key of the usual tenant, and that of a second one.
-constexpr const char *TenantKey = "tenant-key";
-constexpr const char *SecondKey = "second-key";
-
 struct Entry {
   std::unique_ptr<EntryProcess> Process;
   std::string Name;
@@ -88,9 +84,7 @@
 
 struct DeploymentOptions {
   int Entries = 3;
-  int64_t MemoryMb = 260;
   Json Bounds; ///< Of the settings file.
-  Json Route = Json::object(); ///< Fields of the route beside the usual ones.
 };
 
 class Deployment {
@@ -106,25 +100,20 @@
   std::string workerIp(int Number) const;
 
   using Done = std::function<void(int Status, const std::string &Body)>;
-  /// Sends one request to \p To. \p OnAnswer gets status 0 without an answer.
+  /// Sends one request to \p To with the key of the tenant. \p OnAnswer gets
+  /// status 0 without an answer.
   void send(const Entry &To, const std::string &Method, const std::string &Id,
-            const std::string &Body, Done OnAnswer,
-            const std::string &Key = TenantKey);
+            const std::string &Body, Done OnAnswer);
   /// Submits until it is accepted, at one process after the other.
   void submit(const std::string &Id, const Json &Submission,
               std::function<void()> OnAccepted);
-  /// Tells \p Found the process that last became the leader, as the platform's
-  /// store shows it; null if it shows none.
-  void findLeader(std::function<void(Entry *)> Found);
-
   fakes::HttpHost Host;
   Record Log;
   std::unique_ptr<soak::StoreStandIn> Store;
   std::vector<Entry> Entries;
 
 private:
-  /// The platform starts processes that have ended, and kills one with more
-  /// than `memory_mb`.
+  /// The platform starts processes that have ended.
   void supervise();
   Json settingsOf(const Entry &Of, int Number, uint16_t PeerPort) const;
 
--- a/review/stand-ins-3/worker.cpp
+++ b/review/stand-ins-3/worker.cpp
@@ -8,13 +8,9 @@
 
 constexpr Duration TickInterval{20};
 constexpr Duration ReportInterval{1500};
-/// The platform removes an entry after three reports that are missing.
-constexpr Duration EntryLifetime{4500};
 constexpr Duration LongestWait{2000};
 constexpr size_t EndsPerAnswer = 500;
-/// The clock of each life starts elsewhere.
 constexpr int64_t FirstClockMs = 100000;
-constexpr int64_t ClockStepMs = 1000000;
 
 int64_t wallMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -31,6 +27,8 @@
       Ip, 0, [this](const http::Request &Message, const fakes::Reply &Answer) {
         receive(Message, Answer);
       });
+  if (Options.NamedPort)
+    Port = Options.NamedPort(Ip, Port);
   tick();
 }
 
@@ -39,33 +37,7 @@
                      [&](const auto &Row) { return Row.first.first == Task; });
 }
 
-void Worker::crash() {
-  IsUp = false;
-  Of.Log.add(Options.Id + " crashes");
-  Runs.clear();
-  Ends.clear();
-  OpenHolds.clear();
-  Unanswered.clear();
-}
-
-void Worker::restart() {
-  IsUp = true;
-  ++Lives;
-  Born = Of.Host.now();
-  BornMs = wallMs();
-  Token = 0;
-  LeaseUntilMs = 0;
-  LastEnd = 0;
-  Sequence = 0;
-  HighestEnded.clear();
-  ReportedAt = TimePoint();
-  Of.Log.add(Options.Id + " starts again");
-}
-
 void Worker::receive(const http::Request &Message, fakes::Reply Answer) {
-  // Without a process the connection is closed.
-  if (!IsUp)
-    return;
   std::string Path = http::pathOf(Message);
   if (Path == "/health")
     return Answer.send({200, "{}"});
@@ -80,8 +52,6 @@
   Of.Log.add(Options.Id + " leaves unanswered: " + Path + ' ' + Body.dump());
   Unanswered.push_back(std::move(Answer));
   Of.Host.after(*Late, [this, Path, Body] {
-    if (!IsUp)
-      return;
     http::Response Result = carryOut(Path, Body);
     Of.Log.add(Options.Id + " has carried out late: " + Path + ' ' +
                Body.dump() + ": " + std::to_string(Result.Status));
@@ -130,11 +100,11 @@
     return refuse("old");
   Run &Started = Runs[Key];
   Started = {Task, Number, Body.at("spec"), Of.Host.now()};
-  Of.Log.add(Options.Id + " starts " + Task + " run " + std::to_string(Number));
+  note(Started, "starts");
   std::optional<Duration> Time = Length ? Length(Started) : std::nullopt;
   if (Time)
-    Of.Host.after(*Time, [this, Key, Life = Lives] {
-      if (IsUp && Life == Lives && Runs.count(Key) != 0)
+    Of.Host.after(*Time, [this, Key] {
+      if (Runs.count(Key) != 0)
         finish(Key, "done");
     });
   return Accepted;
@@ -148,8 +118,8 @@
   for (auto &[Key, Each] : Runs)
     if (Key.first == Task && Key.second <= Number &&
         !std::exchange(Each.IsStopping, true))
-      Of.Host.after(Options.StopTime, [this, Key = Key, Life = Lives] {
-        if (IsUp && Life == Lives && Runs.count(Key) != 0)
+      Of.Host.after(Options.StopTime, [this, Key = Key] {
+        if (Runs.count(Key) != 0)
           finish(Key, "stopped");
       });
   return {200, Json{{"clock_ms", clockMs()}}.dump()};
@@ -196,14 +166,19 @@
                    .dump()};
 }
 
+void Worker::note(const Run &About, const std::string &What) const {
+  if (!IsRecorded || IsRecorded(About))
+    Of.Log.add(Options.Id + ' ' + What + ' ' + About.Task + " run " +
+               std::to_string(About.Number));
+}
+
 void Worker::finish(RunKey Key, const std::string &How) {
   Run Ended = Runs.at(Key);
   Runs.erase(Key);
   int64_t &Highest = HighestEnded[Key.first];
   Highest = std::max(Highest, Key.second);
   Ends.push_back({++LastEnd, Key.first, Key.second, How});
-  Of.Log.add(Options.Id + " ends " + Key.first + " run " +
-             std::to_string(Key.second) + ": " + How);
+  note(Ended, "ends " + How + ":");
   if (OnEnd)
     OnEnd(Ended, How);
   answerWaiting(true);
@@ -235,42 +210,34 @@
 void Worker::tick() {
   Of.Host.after(TickInterval, [this] { tick(); });
   TimePoint Now = Of.Host.now();
-  if (IsUp && Now - ReportedAt >= ReportInterval)
+  if (Now - ReportedAt >= ReportInterval)
     report();
-  if (!IsUp && IsListed && Now - ReportedAt > EntryLifetime) {
-    IsListed = false;
-    Of.Store->remove("servers/" + Options.Id);
-  }
-  if (!IsUp)
-    return;
   expireLease();
   answerWaiting(false);
 }
 
 void Worker::report() {
   ReportedAt = Of.Host.now();
-  IsListed = true;
-  Of.Store->put("servers/" + Options.Id,
-                Json{{"service", Deployment::Service},
-                     {"address", Ip + ':' + std::to_string(Port)},
-                     {"zone", Options.Zone},
-                     {"version", "v1"},
-                     {"slots", 8},
-                     {"state", "ready"},
-                     {"warmup_remaining_ms", 0},
-                     {"capacity",
-                      {{"cpu", Options.Cpu},
-                       {"task_memory_mb", 32768},
-                       {"gpu", 0}}},
-                     {"labels", {Options.Kind, Options.Rack}},
-                     {"clock_ms", clockMs()},
-                     {"born", BornMs},
-                     {"sequence", ++Sequence}}
-                    .dump());
+  Of.Store->put(
+      "servers/" + Options.Id,
+      Json{{"service", Deployment::Service},
+           {"address", Ip + ':' + std::to_string(Port)},
+           {"zone", Options.Zone},
+           {"version", "v1"},
+           {"slots", 8},
+           {"state", "ready"},
+           {"warmup_remaining_ms", 0},
+           {"capacity",
+            {{"cpu", Options.Cpu}, {"task_memory_mb", 32768}, {"gpu", 0}}},
+           {"labels", {"a", Options.Rack}},
+           {"clock_ms", clockMs()},
+           {"born", BornMs},
+           {"sequence", ++Sequence}}
+          .dump());
 }
 
 int64_t Worker::clockMs() const {
-  return FirstClockMs + Lives * ClockStepMs + (Of.Host.now() - Born).count();
+  return FirstClockMs + (Of.Host.now() - Born).count();
 }
 
 } // namespace review
--- a/review/stand-ins-3/worker.hpp
+++ b/review/stand-ins-3/worker.hpp
@@ -9,15 +9,18 @@
 
 namespace review {
 
+/// Returns the port that a worker names in its entry, which listens on the
+/// given one.
+using Front = std::function<uint16_t(const std::string &Ip, uint16_t Port)>;
+
 struct WorkerOptions {
   std::string Id;
   std::string Zone = "za";
-  std::string Kind = "a"; ///< The first of its labels.
   std::string Rack = "r1";
   int64_t Cpu = 16000; ///< Thousandths of a core.
   Duration LongestLease{6000};
   Duration StopTime{100};
-  uint32_t Seed = 1;
+  Front NamedPort; ///< If set.
 };
 
 /// A worker that follows the pages: runs under leases, fencing tokens, lists of
@@ -37,21 +40,17 @@
   Worker(Deployment &Of, int Number, WorkerOptions Options);
 
   const std::string &id() const { return Options.Id; }
-  bool isUp() const { return IsUp; }
   const std::map<RunKey, Run> &runs() const { return Runs; }
   bool holds(const std::string &Task) const;
 
-  /// Ends the worker; its entry goes after three missed reports.
-  void crash();
-  /// Starts it again under its id: a new life that holds and knows nothing.
-  void restart();
-
   /// The fifth entry of a run's row.
   std::function<int64_t(const Worker &, const Run &)> Load;
   /// How long a run works until it is done; nothing: until it is stopped.
   std::function<std::optional<Duration>(const Run &)> Length;
   /// If set: the order gets no answer and is carried out this much later.
   std::function<std::optional<Duration>(const std::string &Path)> Lateness;
+  /// If set: whether the starts and ends of a run are recorded one by one.
+  std::function<bool(const Run &)> IsRecorded;
   /// A run has ended so.
   std::function<void(const Run &, const std::string &How)> OnEnd;
   /// An order was carried out late.
@@ -78,6 +77,7 @@
   http::Response pace(const Json &Body);
   http::Response refuse(const char *Reason) const;
   http::Response lists() const;
+  void note(const Run &Of, const std::string &What) const;
   void finish(RunKey Key, const std::string &How);
   void extendLease(const Json &Body);
   void expireLease();
@@ -89,9 +89,7 @@
   Deployment &Of;
   const WorkerOptions Options;
   const std::string Ip;
-  uint16_t Port = 0;
-  bool IsUp = true;
-  bool IsListed = false;
+  uint16_t Port = 0; ///< The one in its entry.
   TimePoint Born;
   int64_t BornMs = 0;
   TimePoint ReportedAt;
@@ -99,7 +97,6 @@
   int64_t Token = 0;
   int64_t LeaseUntilMs = 0;
   int64_t LastEnd = 0;
-  int64_t Lives = 0;
   std::map<RunKey, Run> Runs;
   std::map<std::string, int64_t> HighestEnded;
   std::vector<End> Ends;
