--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,7 +17,7 @@
   target/src/teaselwalk/base/libteaselwalk_base.a
 )
 for part in deployment worker proxy; do
-  g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -I. -c "review/stand-ins-3/$part.cpp" -o "$out/$part.o"
+  g++ -std=c++17 -O2 -Wall -Wextra -Iinclude -I. -c "review/$part-3.cpp" -o "$out/$part.o"
 done
 for case in review/1[1-5]/case.cpp; do
   [ -e "$case" ] || continue
--- a/review/stand-ins-3/deployment.cpp
+++ b/review/deployment-3.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "deployment-3.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/review/stand-ins-3/proxy.cpp
+++ b/review/proxy-3.cpp
@@ -1,4 +1,4 @@
-#include "proxy.hpp"
+#include "proxy-3.hpp"
 
 #include <boost/asio.hpp>
 
--- a/review/stand-ins-3/worker.cpp
+++ b/review/worker-3.cpp
@@ -1,4 +1,4 @@
-#include "worker.hpp"
+#include "worker-3.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -9,6 +9,8 @@
 constexpr Duration TickInterval{20};
 constexpr Duration ReportInterval{1500};
 constexpr Duration LongestWait{2000};
+/// `rate_window_ms`: an order on pace takes effect from then on.
+constexpr Duration RateWindow{100};
 constexpr size_t EndsPerAnswer = 500;
 constexpr int64_t FirstClockMs = 100000;
 
@@ -99,7 +101,11 @@
   if (Ended != HighestEnded.end() && Number <= Ended->second)
     return refuse("old");
   Run &Started = Runs[Key];
-  Started = {Task, Number, Body.at("spec"), Of.Host.now()};
+  Started.Task = Task;
+  Started.Number = Number;
+  Started.Spec = Body.at("spec");
+  Started.Since = Of.Host.now();
+  Started.PacedAt = Started.Since;
   note(Started, "starts");
   std::optional<Duration> Time = Length ? Length(Started) : std::nullopt;
   if (Time)
@@ -126,15 +132,34 @@
 }
 
 http::Response Worker::pace(const Json &Body) {
-  auto Found = Runs.find({Body.at("task"), Body.at("run")});
-  if (Found == Runs.end())
+  RunKey Key{Body.at("task"), Body.at("run")};
+  if (Runs.count(Key) == 0)
     return refuse("old");
-  Found->second.Percent = Body.at("percent");
-  Of.Log.add(Options.Id + " paces " + Found->first.first + " at " +
-             std::to_string(Found->second.Percent) + " %");
+  int Percent = Body.at("percent");
+  Of.Host.after(RateWindow, [this, Key, Percent] {
+    auto Found = Runs.find(Key);
+    if (Found == Runs.end())
+      return;
+    Run &Paced = Found->second;
+    TimePoint Now = Of.Host.now();
+    Paced.Worked += (Now - Paced.PacedAt) * Paced.Percent / 100;
+    Paced.PacedAt = Now;
+    Paced.Percent = Percent;
+    Of.Log.add(Options.Id + " paces " + Key.first + " at " +
+               std::to_string(Percent) + " %");
+  });
   return {200, Json{{"clock_ms", clockMs()}}.dump()};
 }
 
+int64_t Worker::progressOf(const Run &About) const {
+  std::optional<Duration> Whole = Length ? Length(About) : std::nullopt;
+  if (!Whole)
+    return 100;
+  Duration Worked =
+      About.Worked + (Of.Host.now() - About.PacedAt) * About.Percent / 100;
+  return std::min<int64_t>(99, Worked.count() * 100 / Whole->count());
+}
+
 void Worker::hold(const Json &Body, const fakes::Reply &Answer) {
   expireLease();
   if (!acceptToken(Body))
@@ -153,8 +178,8 @@
 http::Response Worker::lists() const {
   Json Running = Json::array();
   for (const auto &[Key, Each] : Runs)
-    Running.push_back(
-        {Key.first, Key.second, "", 100, Load ? Load(*this, Each) : 0});
+    Running.push_back({Key.first, Key.second, "", progressOf(Each),
+                       Load ? Load(*this, Each) : 0});
   Json Ended = Json::array();
   for (size_t I = 0; I < Ends.size() && I < EndsPerAnswer; ++I)
     Ended.push_back(
--- a/review/stand-ins-3/worker.hpp
+++ b/review/worker-3.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "deployment.hpp"
+#include "deployment-3.hpp"
 
 #include <map>
 #include <optional>
@@ -32,7 +32,9 @@
     int64_t Number = 0;
     std::string Spec;
     TimePoint Since;
-    int Percent = 100; ///< Its share, by the order on pace carried out last.
+    int Percent = 100;  ///< Its share, by the order on pace carried out last.
+    Duration Worked{0}; ///< Until `PacedAt`.
+    TimePoint PacedAt;  ///< When its share was last set.
     bool IsStopping = false;
   };
   using RunKey = std::pair<std::string, int64_t>;
@@ -75,6 +77,8 @@
   http::Response start(const Json &Body);
   http::Response stop(const Json &Body);
   http::Response pace(const Json &Body);
+  /// The progress of a run in percent; 100 for one that lasts.
+  int64_t progressOf(const Run &Of) const;
   http::Response refuse(const char *Reason) const;
   http::Response lists() const;
   void note(const Run &Of, const std::string &What) const;
